--- /dev/null
+++ b/src/config/settings.hpp
@@ -0,0 +1,59 @@
+// The platform's settings file (TOML) and the operators' own settings (YAML), both checked.
+#pragma once
+
+#include <filesystem>
+#include <stdexcept>
+
+#include "core/types.hpp"
+
+namespace violetpulley::config {
+
+// Names the field that is missing or wrong.
+class SettingsError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Sibling {
+  std::string member;
+  std::string zone;
+  std::string mesh_address;
+};
+
+struct Objective {
+  std::string kind;
+  std::string job_class;
+  core::Seconds within{0};
+  double share = 0;
+};
+
+struct Settings {
+  std::string member;
+  std::string zone;
+  std::string public_address;
+  std::string mesh_address;
+  std::vector<Sibling> siblings;
+  std::string cloud_address;
+  std::string state_address;
+  std::vector<std::string> zones;
+  std::chrono::milliseconds clock_skew{0};
+  std::vector<core::Team> teams;
+  std::vector<Objective> objectives;
+  core::WorkerTimes workers;
+  double state_requests_per_s = 0;
+  double state_writes_per_s = 0;
+  double state_value_kib = 16;
+  std::size_t state_changes_per_transaction = 12;
+  double cloud_requests_per_s = 0;
+  core::Seconds cloud_list_lag{10};
+  std::size_t max_sockets = 1000;
+
+  std::size_t nodes() const { return siblings.size() + 1; }
+};
+
+Settings load_settings(const std::filesystem::path& path);
+Settings parse_settings(const std::string& text, const std::string& source);
+core::Tuning load_tuning(const std::filesystem::path& path);
+core::Tuning parse_tuning(const std::string& text);
+
+}  // namespace violetpulley::config
--- /dev/null
+++ b/src/core/actions.hpp
@@ -0,0 +1,74 @@
+// What the core asks the shells to do. Every action on the store is conditioned on leadership by
+// the shell that carries it out.
+#pragma once
+
+#include <utility>
+#include <variant>
+
+#include "core/types.hpp"
+
+namespace violetpulley::core {
+
+using IndexRange = std::pair<TaskIndex, TaskIndex>;  // both ends included
+
+struct MachineRecord {
+  MachineId id;
+  std::string endpoint;  // empty: rented, not yet up
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  std::vector<std::pair<std::string, double>> images;
+};
+
+struct ProgressRecord {
+  JobId job;
+  TaskIndex chunk = 0;
+  std::vector<IndexRange> done;
+  std::vector<IndexRange> restarted;
+};
+
+struct SendOrders {
+  MachineId machine;
+  std::string endpoint;
+  std::uint64_t session = 0;
+  std::vector<Command> commands;
+};
+struct SaveMachine {
+  MachineRecord record;
+};
+struct DeleteMachine {
+  MachineId id;
+};
+struct SaveProgress {
+  ProgressRecord record;
+  std::uint64_t version = 0;
+};
+struct FinishJob {
+  JobId job;
+  Revision revision = 0;
+  std::vector<TaskIndex> chunks;
+};
+struct DeleteProgress {
+  JobId job;
+  std::vector<TaskIndex> chunks;
+};
+struct Rent {
+  std::string name;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  int count = 0;
+};
+struct Release {
+  std::vector<MachineId> machines;
+};
+struct Resign {
+  std::string cause;
+};
+
+using Action = std::variant<SendOrders, SaveMachine, DeleteMachine, SaveProgress, FinishJob,
+                            DeleteProgress, Rent, Release, Resign>;
+
+inline constexpr TaskIndex kProgressChunk = 1000;
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/controller.cpp
@@ -0,0 +1,239 @@
+#include "core/controller.hpp"
+
+#include <algorithm>
+
+namespace violetpulley::core {
+
+using std::chrono::milliseconds;
+
+namespace {
+constexpr milliseconds kPersistEvery{1000};
+constexpr milliseconds kWatchEvery{500};
+}  // namespace
+
+Controller::Controller(ControllerSettings settings, Token token, TimePoint now,
+                       TimePoint older_leases_end, Inheritance inheritance)
+    : settings_(std::move(settings)),
+      token_(token),
+      // Attempts come from the token and a counter, so no two leaders ever choose the same one.
+      next_attempt_((token << 24U) + 1),
+      takeover_(now),
+      older_leases_end_(older_leases_end),
+      rental_rate_(settings_.rentals_per_s, std::max(1.0, settings_.rentals_per_s)) {
+  for (const auto& team : settings_.teams) teams_[team.name] = team;
+  for (const auto& record : inheritance.jobs) {
+    job_opened(record, now);
+    jobs_.at(record.spec.id).carried_over = record.revision < token_;
+  }
+  for (const auto& progress : inheritance.progress) {
+    const auto found = jobs_.find(progress.job);
+    if (found == jobs_.end()) {
+      actions_.push_back(DeleteProgress{progress.job, {progress.chunk}});
+      continue;
+    }
+    auto& job = found->second;
+    job.chunks_stored.insert(progress.chunk);
+    const auto each = [&](const std::vector<IndexRange>& ranges, auto apply) {
+      for (const auto& [first, last] : ranges)
+        for (TaskIndex i = first; i <= last && i < job.tasks.size(); ++i) apply(i);
+    };
+    each(progress.done, [&](TaskIndex i) {
+      job.set_done(i);
+      job.tasks[i].persisted = true;
+    });
+    each(progress.restarted, [&](TaskIndex i) { job.tasks[i].restarted = true; });
+  }
+  for (const auto& record : inheritance.machines) {
+    auto& machine = fleet_.add(record.id);
+    machine.endpoint = record.endpoint;
+    machine.type = record.type;
+    machine.zone = record.zone;
+    machine.spot = record.spot;
+    machine.since = now;
+    for (const auto& [name, gb] : record.images) machine.images.push_back({name, gb, true});
+    if (machine.up()) {
+      machine.registered = true;
+      machine.up_since = now;
+      machine.orders_due = true;
+      unconfirmed_.insert(record.id);
+    }
+  }
+  check_recovered(now);
+}
+
+void Controller::set_catalog(std::vector<MachineType> types) {
+  types_.clear();
+  for (auto& type : types) types_[type.name] = std::move(type);
+  for (auto& [id, machine] : fleet_.all()) apply_type(machine);
+  placing_wanted_ = true;
+}
+
+void Controller::job_opened(const JobRecord& record, TimePoint now) {
+  const auto [entry, added] = jobs_.try_emplace(record.spec.id, record);
+  if (!added) return;
+  entry->second.opened = now;
+  placing_wanted_ = true;
+}
+
+void Controller::job_closed(const JobId& id, TimePoint now) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  auto& job = found->second;
+  for (TaskIndex i = 0; i < job.tasks.size(); ++i) {
+    const auto& task = job.tasks[i];
+    if (task.phase != Phase::assigned) continue;
+    auto* machine = fleet_.find(task.machine);
+    if (machine == nullptr) continue;
+    const auto assignment = machine->tasks.find({id, i});
+    if (assignment == machine->tasks.end()) continue;
+    assignment->second.abandoned = true;
+    stop_task(*machine, assignment->second, now);
+  }
+  if (!job.chunks_stored.empty() || !job.chunks_in_flight.empty()) {
+    auto chunks = job.chunks_stored;
+    chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
+    if (!job.finishing) actions_.push_back(DeleteProgress{id, {chunks.begin(), chunks.end()}});
+  }
+  jobs_.erase(found);
+  placing_wanted_ = true;
+}
+
+void Controller::task_lost(const TaskKey& key, const char* /*cause*/) {
+  const auto found = jobs_.find(key.job);
+  if (found == jobs_.end() || key.index >= found->second.tasks.size()) return;
+  found->second.set_waiting(key.index);
+  placing_wanted_ = true;
+}
+
+void Controller::lose_all(Machine& machine, const char* cause) {
+  while (!machine.tasks.empty()) {
+    const auto key = machine.tasks.begin()->first;
+    const bool abandoned = machine.tasks.begin()->second.abandoned;
+    fleet_.unassign(machine, key);
+    if (!abandoned) task_lost(key, cause);
+  }
+  machine.reported.clear();
+}
+
+// Until every machine registered at the takeover is accounted for, tasks of older jobs that were
+// seen nowhere may be on any of the others (docs/safety.md, "One copy of a task", 3).
+void Controller::check_recovered(TimePoint now) {
+  if (!recovering_) return;
+  if (now >= older_leases_end_) unconfirmed_.clear();
+  if (!unconfirmed_.empty()) return;
+  recovering_ = false;
+  placing_wanted_ = true;
+}
+
+void Controller::persist(TimePoint now) {
+  if (now - last_persist_ < kPersistEvery) return;
+  last_persist_ = now;
+  for (auto& [id, job] : jobs_) {
+    if (job.complete()) continue;  // its end is written instead
+    for (auto chunk = job.chunks_dirty.begin(); chunk != job.chunks_dirty.end();) {
+      if (job.chunks_in_flight.contains(*chunk)) {
+        ++chunk;
+        continue;
+      }
+      job.chunks_in_flight.insert(*chunk);
+      actions_.push_back(SaveProgress{job.progress(*chunk), 0});
+      chunk = job.chunks_dirty.erase(chunk);
+    }
+  }
+}
+
+void Controller::progress_saved(const SaveProgress& saved, bool ok) {
+  const auto found = jobs_.find(saved.record.job);
+  if (found == jobs_.end()) {
+    if (ok) actions_.push_back(DeleteProgress{saved.record.job, {saved.record.chunk}});
+    return;
+  }
+  auto& job = found->second;
+  job.chunks_in_flight.erase(saved.record.chunk);
+  job.chunks_stored.insert(saved.record.chunk);
+  if (!ok) {
+    job.chunks_dirty.insert(saved.record.chunk);
+    return;
+  }
+  for (const auto& [first, last] : saved.record.done)
+    for (TaskIndex i = first; i <= last; ++i) job.tasks[i].persisted = true;
+}
+
+void Controller::finish_answered(const JobId& id, TimePoint retry) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  found->second.finishing = false;
+  found->second.finish_retry = retry;
+}
+
+void Controller::tick(TimePoint now, bool may_place) {
+  check_recovered(now);
+  if (now - last_watch_ >= kWatchEvery) {
+    last_watch_ = now;
+    watch_machines(now);
+    clear_machines(now);
+  }
+  const bool round_due = now - last_place_ >= to_duration(settings_.tuning.round);
+  const bool quick = placing_wanted_ && now - last_place_ >= to_duration(settings_.tuning.quick_round);
+  if (may_place && (round_due || quick)) {
+    last_place_ = now;
+    placing_wanted_ = false;
+    place(now);
+  }
+  for (auto& [id, job] : jobs_) {
+    if (!job.complete() || job.finishing || now < job.finish_retry) continue;
+    job.finishing = true;
+    auto chunks = job.chunks_stored;
+    chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
+    actions_.push_back(FinishJob{id, job.record.revision, {chunks.begin(), chunks.end()}});
+  }
+  persist(now);
+  send_orders(now);
+}
+
+std::optional<JobCounts> Controller::counts(const JobId& id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return std::nullopt;
+  JobCounts counts;
+  counts.done = found->second.done;
+  for (TaskIndex i = 0; i < found->second.tasks.size(); ++i) {
+    const auto& task = found->second.tasks[i];
+    if (task.phase != Phase::assigned) continue;
+    const auto* machine = fleet_.find(task.machine);
+    if (machine == nullptr) continue;
+    const auto assignment = machine->tasks.find({id, i});
+    if (assignment != machine->tasks.end() && assignment->second.running_since) ++counts.running;
+  }
+  return counts;
+}
+
+std::string Controller::summary() const {
+  std::size_t waiting = 0;
+  std::size_t bound = 0;
+  for (const auto& [id, job] : jobs_) {
+    waiting += job.waiting.size();
+    for (const auto index : job.waiting) bound += job.tasks[index].bound.empty() ? 0 : 1;
+  }
+  std::size_t up = 0;
+  std::size_t booting = 0;
+  std::size_t tasks = 0;
+  std::size_t clearing = 0;
+  Resources used;
+  Resources capacity;
+  for (const auto& [id, machine] : fleet_.all()) {
+    ++(machine.up() ? up : booting);
+    tasks += machine.tasks.size();
+    if (machine.clearing) ++clearing;
+    used += machine.used;
+    if (machine.up()) capacity += machine.capacity;
+  }
+  return "jobs=" + std::to_string(jobs_.size()) + " waiting=" + std::to_string(waiting) +
+         " bound=" + std::to_string(bound) + " tasks=" + std::to_string(tasks) +
+         " machines=" + std::to_string(up) + "+" + std::to_string(booting) +
+         " clearing=" + std::to_string(clearing) + " cpus=" +
+         std::to_string(static_cast<int>(used.cpus)) + "/" +
+         std::to_string(static_cast<int>(capacity.cpus)) +
+         (recovering_ ? " recovering" : "");
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/controller.hpp
@@ -0,0 +1,159 @@
+// The leader's brain: events and the time in, actions out. It does no input or output, holds no
+// clock, and is made anew at every takeover.
+#pragma once
+
+#include "core/actions.hpp"
+#include "core/estimator.hpp"
+#include "core/fleet.hpp"
+#include "core/job_table.hpp"
+#include "core/packer.hpp"
+#include "core/rate_limiter.hpp"
+#include "core/scaler.hpp"
+
+namespace violetpulley::core {
+
+struct ControllerSettings {
+  std::vector<Team> teams;
+  WorkerTimes workers;
+  Tuning tuning;
+  double rentals_per_s = 1;
+  Seconds list_lag{10};
+};
+
+struct JobCounts {
+  TaskIndex done = 0;
+  TaskIndex running = 0;
+};
+
+struct ListedMachine {
+  MachineId id;
+  std::string endpoint;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  bool failed = false;
+  Seconds age{0};
+};
+
+struct RentalAnswer {
+  enum class Kind { rented, no_capacity, refused, unknown } kind = Kind::unknown;
+  std::vector<MachineId> machines;
+};
+
+// What a takeover reads from the store.
+struct Inheritance {
+  std::vector<MachineRecord> machines;
+  std::vector<JobRecord> jobs;
+  std::vector<ProgressRecord> progress;
+};
+
+class Controller {
+ public:
+  Controller(ControllerSettings settings, Token token, TimePoint now, TimePoint older_leases_end,
+             Inheritance inheritance);
+
+  void set_catalog(std::vector<MachineType> types);
+
+  // Only jobs that were read while leadership was proved.
+  void job_opened(const JobRecord& record, TimePoint now);
+  void job_closed(const JobId& id, TimePoint now);
+
+  void report(const WorkerReport& report, TimePoint now);
+  // Stops and forgets that travel in the answer to a report.
+  std::vector<Command> response_commands(const MachineId& machine) const;
+  void orders_answered(const MachineId& machine, const WorkerReport* report, TimePoint now);
+
+  void machine_saved(const MachineId& id, bool with_endpoint, bool ok);
+  void progress_saved(const SaveProgress& saved, bool ok);
+  void finish_answered(const JobId& job, TimePoint retry);
+  void rental_answered(const std::string& name, const RentalAnswer& answer, TimePoint now);
+  void release_answered(const std::vector<MachineId>& machines, bool ok, TimePoint now);
+  void cloud_listed(const std::vector<ListedMachine>& machines, TimePoint now);
+
+  // Deadlines, placing and scaling. `may_place`: leadership may still be served.
+  void tick(TimePoint now, bool may_place);
+  std::vector<Action> take_actions() { return std::exchange(actions_, {}); }
+  bool placing_wanted() const { return placing_wanted_; }
+
+  std::optional<JobCounts> counts(const JobId& id) const;
+  const std::unordered_map<JobId, Job>& jobs() const { return jobs_; }
+  const Fleet& fleet() const { return fleet_; }
+  bool recovering() const { return recovering_; }
+  std::string summary() const;
+
+ private:
+  struct Rental {
+    Rent request;
+    std::vector<std::vector<TaskKey>> groups;
+    TimePoint sent{};
+  };
+  struct OptionKey {
+    std::string type;
+    std::string zone;
+    bool spot;
+    friend auto operator<=>(const OptionKey&, const OptionKey&) = default;
+  };
+
+  // controller.cpp: jobs and recovery
+  void check_recovered(TimePoint now);
+  void persist(TimePoint now);
+  void task_lost(const TaskKey& key, const char* cause);
+  void lose_all(Machine& machine, const char* cause);
+
+  // controller_reports.cpp: machines
+  void absorb_task(Machine& machine, const TaskReport& entry, TimePoint now);
+  void absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now);
+  void task_failed(Machine& machine, Job& job, TaskIndex index, TimePoint now);
+  void adopt(Machine& machine, const TaskReport& entry, TimePoint now);
+  bool forgettable(const TaskReport& entry) const;
+  std::vector<Command> commands_for(const Machine& machine, bool with_starts) const;
+  void send_orders(TimePoint now);
+  void stop_task(Machine& machine, Assignment& assignment, TimePoint now);
+  void apply_type(Machine& machine);
+  void save_machine(Machine& machine);
+  void watch_machines(TimePoint now);
+  void want_release(Machine& machine, const char* cause, TimePoint now);
+  bool others_heard(TimePoint now) const;
+
+  // controller_placing.cpp: packing, scaling, clearing
+  bool placeable(const Machine& machine, TimePoint now) const;
+  bool within_limit(const JobSpec& spec) const;
+  Resources uncertain_use() const;
+  void place(TimePoint now);
+  bool start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now);
+  void scale(std::vector<ScalerTask> leftovers, TimePoint now);
+  std::vector<RentalOption> rental_options(TimePoint now) const;
+  void unbind(const std::vector<TaskKey>& group, const std::string& bound);
+  void clear_machines(TimePoint now);
+
+  ControllerSettings settings_;
+  Token token_;
+  Attempt next_attempt_;
+  std::uint64_t next_rental_ = 1;
+  TimePoint takeover_;
+  TimePoint older_leases_end_;
+  bool recovering_ = true;
+  Resources uncertain_;
+  std::set<MachineId> unconfirmed_;
+
+  std::unordered_map<JobId, Job> jobs_;
+  Fleet fleet_;
+  Estimator estimator_;
+  std::map<std::string, MachineType> types_;
+  std::map<std::string, Team> teams_;
+
+  std::map<std::string, Rental> rentals_;
+  std::map<MachineId, std::vector<TaskKey>> bound_groups_;
+  std::map<OptionKey, TimePoint> resting_;
+  std::map<MachineId, TimePoint> released_;
+  RateLimiter rental_rate_;
+
+  std::vector<Action> actions_;
+  bool placing_wanted_ = true;
+  TimePoint last_place_{};
+  TimePoint last_scale_{};
+  TimePoint last_persist_{};
+  TimePoint last_watch_{};
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/controller_reports.cpp
@@ -0,0 +1,390 @@
+#include <algorithm>
+
+#include "core/controller.hpp"
+
+namespace violetpulley::core {
+
+using std::chrono::milliseconds;
+
+namespace {
+constexpr milliseconds kOrdersRetry{1000};
+constexpr std::chrono::seconds kReleaseRetry{3};
+constexpr std::chrono::seconds kRemembered{90};
+}  // namespace
+
+void Controller::apply_type(Machine& machine) {
+  const auto found = types_.find(machine.type);
+  if (found == types_.end()) return;
+  const auto& type = found->second;
+  machine.capacity = type.capacity;
+  machine.cache_gb = type.cache_gb;
+  machine.fetch_gb_per_s = type.fetch_gb_per_s;
+  machine.price = machine.spot ? type.spot_price : type.price;
+}
+
+void Controller::save_machine(Machine& machine) {
+  MachineRecord record{machine.id, machine.endpoint, machine.type, machine.zone, machine.spot, {}};
+  for (const auto& image : machine.images)
+    if (image.present) record.images.emplace_back(image.name, image.gb);
+  machine.images_changed = false;
+  machine.registering = true;
+  actions_.push_back(SaveMachine{std::move(record)});
+}
+
+void Controller::machine_saved(const MachineId& id, bool with_endpoint, bool ok) {
+  auto* machine = fleet_.find(id);
+  if (machine == nullptr) {
+    if (ok) actions_.push_back(DeleteMachine{id});
+    return;
+  }
+  machine->registering = false;
+  // A leader starts tasks only on machines whose record is committed with its endpoint: the
+  // next leader must know every machine that it has to confirm.
+  if (ok && with_endpoint) machine->registered = true;
+  placing_wanted_ = true;
+}
+
+void Controller::report(const WorkerReport& report, TimePoint now) {
+  if (report.token > token_) {
+    actions_.push_back(Resign{"worker " + report.machine + " has seen a higher token"});
+    return;
+  }
+  auto* known = fleet_.find(report.machine);
+  if (known == nullptr) {
+    // A machine that was released may still have a report on its way.
+    if (released_.contains(report.machine)) return;
+    known = &fleet_.add(report.machine);
+    known->since = now;
+  }
+  auto& machine = *known;
+  if (std::pair(report.session, report.sequence) <= std::pair(machine.session, machine.sequence))
+    return;
+  if (machine.session != 0 && report.session > machine.session)
+    lose_all(machine, "its lease ran out");
+  const bool first = !machine.up();
+  machine.session = report.session;
+  machine.sequence = report.sequence;
+  machine.heard = now;
+  machine.endpoint = report.endpoint;
+  machine.type = report.type;
+  machine.zone = report.zone;
+  machine.spot = report.spot;
+  apply_type(machine);
+  if (first) {
+    machine.up_since = now;
+    machine.orders_due = true;
+  }
+  if (!machine.registered && !machine.registering) save_machine(machine);
+  if (report.token == token_ && !machine.confirmed) {
+    machine.confirmed = true;
+    unconfirmed_.erase(machine.id);
+    placing_wanted_ = true;
+  }
+  if (report.notice && !machine.notice_ends) {
+    machine.notice_ends = now + to_duration(*report.notice);
+    for (auto& [key, assignment] : machine.tasks)
+      if (now + to_duration(remaining_of(assignment, now)) > *machine.notice_ends)
+        stop_task(machine, assignment, now);
+    placing_wanted_ = true;
+  }
+
+  machine.reported = report.tasks;
+  std::set<std::pair<TaskKey, Attempt>> listed;
+  for (const auto& entry : report.tasks) {
+    listed.insert({entry.task, entry.attempt});
+    absorb_task(machine, entry, now);
+  }
+  // What was seen and is listed no more is gone. What was never seen may still be started by a
+  // command on its way (docs/safety.md, "One copy of a task", 5).
+  std::vector<TaskKey> gone;
+  for (const auto& [key, assignment] : machine.tasks)
+    if (assignment.seen && !listed.contains({key, assignment.attempt})) gone.push_back(key);
+  for (const auto& key : gone) {
+    const bool abandoned = machine.tasks.at(key).abandoned;
+    fleet_.unassign(machine, key);
+    if (!abandoned) task_lost(key, "the machine has it no more");
+    placing_wanted_ = true;
+  }
+}
+
+void Controller::absorb_task(Machine& machine, const TaskReport& entry, TimePoint now) {
+  const auto found = machine.tasks.find(entry.task);
+  if (found == machine.tasks.end() || found->second.attempt != entry.attempt)
+    return adopt(machine, entry, now);
+  auto& assignment = found->second;
+  assignment.seen = true;
+  if (entry.state == TaskState::exited) return absorb_exit(machine, entry, now);
+  assignment.state = entry.state;
+  if (entry.state == TaskState::running && !assignment.running_since) {
+    assignment.running_since = now;
+    const auto job = jobs_.find(entry.task.job);
+    if (job != jobs_.end())
+      fleet_.touch_image(machine, assignment.image, job->second.spec().image_gb, true);
+  }
+}
+
+void Controller::adopt(Machine& machine, const TaskReport& entry, TimePoint now) {
+  const auto found = jobs_.find(entry.task.job);
+  if (found == jobs_.end() || entry.task.index >= found->second.tasks.size()) return;
+  auto& job = found->second;
+  auto& task = job.tasks[entry.task.index];
+  if (entry.state == TaskState::exited) {
+    if (entry.cause == ExitCause::done && task.phase == Phase::waiting) {
+      job.set_done(entry.task.index);
+      job.chunks_dirty.insert(entry.task.index / kProgressChunk);
+    }
+    return;
+  }
+  if (task.phase != Phase::waiting) return;  // a second copy: commands_for stops it
+  Assignment assignment;
+  assignment.attempt = entry.attempt;
+  assignment.resources = job.spec().per_task;
+  assignment.team = job.spec().team;
+  assignment.job_class = job.spec().job_class;
+  assignment.image = job.spec().image;
+  assignment.estimate = estimator_.estimate(job.spec());
+  assignment.placed = now;
+  assignment.state = entry.state;
+  assignment.seen = true;
+  if (entry.state == TaskState::running) {
+    assignment.running_since = now;
+    fleet_.touch_image(machine, assignment.image, job.spec().image_gb, true);
+  }
+  fleet_.assign(machine, entry.task, std::move(assignment));
+  job.set_assigned(entry.task.index, machine.id);
+}
+
+void Controller::absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now) {
+  const auto assignment = machine.tasks.at(entry.task);
+  fleet_.unassign(machine, entry.task);
+  placing_wanted_ = true;
+  const auto found = jobs_.find(entry.task.job);
+  if (found == jobs_.end()) return;
+  auto& job = found->second;
+  const auto index = entry.task.index;
+  if (entry.cause == ExitCause::done) {
+    if (assignment.running_since && !assignment.stop)
+      estimator_.finished(job.spec(), now - *assignment.running_since);
+    fleet_.touch_image(machine, assignment.image, job.spec().image_gb, true);
+    machine.errors = 0;
+    machine.error_jobs.clear();
+    job.set_done(index);
+    job.chunks_dirty.insert(index / kProgressChunk);
+    return;
+  }
+  job.set_waiting(index);
+  if (entry.cause == ExitCause::error) task_failed(machine, job, index, now);
+  if (entry.cause == ExitCause::unknown || entry.cause == ExitCause::no_room ||
+      entry.cause == ExitCause::busy)
+    job.backoff_until = std::max(job.backoff_until, now + std::chrono::seconds(1));
+}
+
+void Controller::task_failed(Machine& machine, Job& job, TaskIndex /*index*/, TimePoint now) {
+  ++job.failures;
+  job.failed_on.insert(machine.id);
+  // A job that fails on machine after machine was submitted with a mistake: it must neither be
+  // tried without pause nor bring healthy machines into quarantine.
+  if (job.done == 0 && job.failed_on.size() >= 3) {
+    const int doublings = std::min(static_cast<int>(job.failed_on.size()) - 2, 6);
+    job.backoff_until = now + std::chrono::seconds(1L << doublings);
+    return;
+  }
+  ++machine.errors;
+  machine.error_jobs.insert(job.spec().id);
+  const bool several = machine.errors >= settings_.tuning.quarantine_errors;
+  if (several && (machine.error_jobs.size() >= 2 || job.done > 0)) machine.quarantined = true;
+}
+
+bool Controller::forgettable(const TaskReport& entry) const {
+  if (entry.cause != ExitCause::done) return true;
+  const auto found = jobs_.find(entry.task.job);
+  if (found == jobs_.end() || entry.task.index >= found->second.tasks.size()) return true;
+  return found->second.tasks[entry.task.index].persisted;
+}
+
+std::vector<Command> Controller::commands_for(const Machine& machine, bool with_starts) const {
+  std::vector<Command> commands;
+  if (!machine.confirmed) return commands;
+  for (const auto& entry : machine.reported)
+    if (entry.state == TaskState::exited && forgettable(entry))
+      commands.push_back({Verb::forget, entry.task, entry.attempt, Seconds(0)});
+  for (const auto& entry : machine.reported) {
+    if (entry.state == TaskState::exited) continue;
+    const auto ours = machine.tasks.find(entry.task);
+    if (ours == machine.tasks.end() || ours->second.attempt != entry.attempt)
+      commands.push_back({Verb::stop, entry.task, entry.attempt, Seconds(0)});
+  }
+  for (const auto& [key, assignment] : machine.tasks) {
+    // A start that was not answered may be executed late. Where the job still runs, sending it
+    // once more before the stop makes the attempt known, so that its exit is reported.
+    if (with_starts && !assignment.seen && !assignment.abandoned)
+      commands.push_back({Verb::start, key, assignment.attempt, Seconds(0)});
+    if (assignment.stop) commands.push_back({Verb::stop, key, assignment.attempt, Seconds(0)});
+  }
+  return commands;
+}
+
+std::vector<Command> Controller::response_commands(const MachineId& id) const {
+  const auto* machine = fleet_.find(id);
+  return machine == nullptr ? std::vector<Command>{} : commands_for(*machine, false);
+}
+
+void Controller::stop_task(Machine& machine, Assignment& assignment, TimePoint now) {
+  if (assignment.stop) return;
+  assignment.stop = true;
+  assignment.stop_since = now;
+  machine.orders_due = true;
+}
+
+void Controller::send_orders(TimePoint now) {
+  for (auto& [id, machine] : fleet_.all()) {
+    if (!machine.orders_due || machine.orders_in_flight || !machine.up() || machine.releasing ||
+        now < machine.next_orders)
+      continue;
+    machine.orders_due = false;
+    machine.orders_in_flight = true;
+    // An empty list under our token confirms a machine; a wrong session is answered with a report
+    // that tells the right one.
+    actions_.push_back(SendOrders{id, machine.endpoint, std::max<std::uint64_t>(1, machine.session),
+                                  commands_for(machine, true)});
+  }
+}
+
+void Controller::orders_answered(const MachineId& id, const WorkerReport* answer, TimePoint now) {
+  auto* machine = fleet_.find(id);
+  if (machine == nullptr) return;
+  machine->orders_in_flight = false;
+  if (answer == nullptr) {
+    machine->next_orders = now + kOrdersRetry;
+    machine->orders_due = true;
+    return;
+  }
+  const bool was_confirmed = machine->confirmed;
+  report(*answer, now);
+  machine = fleet_.find(id);
+  if (machine == nullptr) return;
+  if (!machine->confirmed) {
+    machine->next_orders = now + milliseconds(50);
+    machine->orders_due = true;
+    return;
+  }
+  const auto left = commands_for(*machine, true);
+  const bool urgent = std::any_of(left.begin(), left.end(),
+                                  [](const Command& c) { return c.verb != Verb::forget; });
+  if (urgent) {
+    machine->orders_due = true;
+    machine->next_orders = was_confirmed ? now + milliseconds(500) : now;
+  }
+}
+
+bool Controller::others_heard(TimePoint now) const {
+  std::size_t up = 0;
+  std::size_t heard = 0;
+  for (const auto& [id, machine] : fleet_.all()) {
+    if (!machine.up() || machine.releasing) continue;
+    ++up;
+    if (machine.heard && now - *machine.heard < to_duration(settings_.tuning.silent_after)) ++heard;
+  }
+  return heard * 2 >= up || up == 1;
+}
+
+void Controller::want_release(Machine& machine, const char* /*cause*/, TimePoint now) {
+  if (machine.releasing) return;
+  machine.releasing = true;
+  machine.release_retry = now;
+  placing_wanted_ = true;
+}
+
+void Controller::watch_machines(TimePoint now) {
+  const auto& tuning = settings_.tuning;
+  const bool heard_from_most = others_heard(now);
+  std::vector<MachineId> release;
+  std::size_t up = 0;
+  std::size_t silent = 0;
+  bool image_saved = false;
+  for (auto& [id, machine] : fleet_.all()) {
+    if (!machine.up()) {
+      const auto type = types_.find(machine.type);
+      const Seconds boot = type == types_.end() ? Seconds(60) : type->second.boot;
+      const auto late = to_duration(boot * tuning.boot_late_factor + settings_.workers.report);
+      if (now - machine.since > late) want_release(machine, "it does not boot", now);
+    } else {
+      ++up;
+      const auto last = machine.heard.value_or(std::max(machine.since, takeover_));
+      const auto quiet = now - last;
+      if (quiet > to_duration(tuning.silent_after)) {
+        ++silent;
+        machine.orders_due = true;
+        if (quiet > to_duration(tuning.lost_after) && heard_from_most)
+          want_release(machine, "it is silent", now);
+        // The lease of a machine that answers nothing has run out, and its tasks with it.
+        const auto lease_end = settings_.workers.lease * 1.001 + Seconds(1);
+        if (machine.confirmed && quiet > to_duration(lease_end) && !machine.tasks.empty())
+          lose_all(machine, "its lease must have run out");
+      }
+      if (machine.quarantined && machine.tasks.empty())
+        want_release(machine, "it fails the tasks it starts", now);
+      if (machine.images_changed && machine.registered && !machine.registering && !image_saved) {
+        image_saved = true;  // one a pass: it only spares fetches after a takeover
+        save_machine(machine);
+      }
+      // Starts and stops that are still open are repeated.
+      for (const auto& [key, assignment] : machine.tasks)
+        if (!assignment.seen || assignment.stop) machine.orders_due = true;
+    }
+    if (machine.releasing && machine.release_retry && now >= *machine.release_retry) {
+      machine.release_retry = now + kReleaseRetry;
+      release.push_back(id);
+    }
+  }
+  for (std::size_t at = 0; at < release.size(); at += 100)
+    actions_.push_back(Release{{release.begin() + static_cast<long>(at),
+                                release.begin() + static_cast<long>(
+                                                      std::min(release.size(), at + 100))}});
+  if (up >= 2 && silent == up && now - takeover_ > to_duration(tuning.silent_after * 1.5))
+    actions_.push_back(Resign{"no machine is heard from"});
+  std::erase_if(released_, [&](const auto& entry) { return now - entry.second > kRemembered; });
+}
+
+void Controller::release_answered(const std::vector<MachineId>& machines, bool ok, TimePoint now) {
+  for (const auto& id : machines) {
+    auto* machine = fleet_.find(id);
+    if (machine == nullptr) continue;
+    if (!ok) {
+      machine->release_retry = now + kReleaseRetry;
+      continue;
+    }
+    // The answer proves that the machine and all that was on it are gone.
+    lose_all(*machine, "its machine was returned");
+    const auto bound = bound_groups_.find(id);
+    if (bound != bound_groups_.end()) {
+      unbind(bound->second, id);
+      bound_groups_.erase(bound);
+    }
+    unconfirmed_.erase(id);
+    released_[id] = now;
+    actions_.push_back(DeleteMachine{id});
+    fleet_.erase(id);
+  }
+  placing_wanted_ = true;
+}
+
+void Controller::cloud_listed(const std::vector<ListedMachine>& machines, TimePoint now) {
+  for (const auto& listed : machines) {
+    if (released_.contains(listed.id)) continue;
+    auto* known = fleet_.find(listed.id);
+    if (known == nullptr) {
+      // Nobody here asked for it: a late request or an earlier leader's. It is used or returned.
+      auto& machine = fleet_.add(listed.id);
+      machine.type = listed.type;
+      machine.zone = listed.zone;
+      machine.spot = listed.spot;
+      machine.since = now - to_duration(listed.failed ? Seconds(0) : listed.age);
+      apply_type(machine);
+      known = &machine;
+    }
+    if (listed.failed) want_release(*known, "it has stopped", now);
+  }
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,92 @@
+#include "core/fleet.hpp"
+
+#include <algorithm>
+
+namespace violetpulley::core {
+
+bool Machine::has_image(const std::string& image) const {
+  return std::any_of(images.begin(), images.end(),
+                     [&](const CachedImage& c) { return c.present && c.name == image; });
+}
+
+bool Machine::fetching_image(const std::string& image) const {
+  return std::any_of(images.begin(), images.end(),
+                     [&](const CachedImage& c) { return !c.present && c.name == image; });
+}
+
+Seconds remaining_of(const Assignment& assignment, TimePoint now) {
+  if (assignment.running_since)
+    return remaining_run_time(assignment.estimate, now - *assignment.running_since);
+  const Seconds fetched = now - assignment.placed;
+  return assignment.estimate + std::max(Seconds(0), assignment.fetch - fetched);
+}
+
+Seconds Machine::remaining(TimePoint now) const {
+  Seconds longest{0};
+  for (const auto& [key, assignment] : tasks)
+    longest = std::max(longest, remaining_of(assignment, now));
+  return longest;
+}
+
+Machine* Fleet::find(const MachineId& id) {
+  const auto found = machines_.find(id);
+  return found == machines_.end() ? nullptr : &found->second;
+}
+
+const Machine* Fleet::find(const MachineId& id) const {
+  const auto found = machines_.find(id);
+  return found == machines_.end() ? nullptr : &found->second;
+}
+
+Machine& Fleet::add(const MachineId& id) {
+  auto& machine = machines_[id];
+  machine.id = id;
+  return machine;
+}
+
+void Fleet::erase(const MachineId& id) { machines_.erase(id); }
+
+void Fleet::assign(Machine& machine, const TaskKey& task, Assignment assignment) {
+  machine.used += assignment.resources;
+  team_use_[assignment.team] += assignment.resources;
+  machine.tasks.insert_or_assign(task, std::move(assignment));
+}
+
+void Fleet::unassign(Machine& machine, const TaskKey& task) {
+  const auto found = machine.tasks.find(task);
+  if (found == machine.tasks.end()) return;
+  machine.used -= found->second.resources;
+  team_use_[found->second.team] -= found->second.resources;
+  machine.tasks.erase(found);
+  if (machine.tasks.empty()) machine.used = Resources{};
+}
+
+Resources Fleet::team_use(const std::string& team) const {
+  const auto found = team_use_.find(team);
+  return found == team_use_.end() ? Resources{} : found->second;
+}
+
+void Fleet::touch_image(Machine& machine, const std::string& image, double gb, bool present) {
+  if (image.empty()) return;
+  auto& images = machine.images;
+  const auto found = std::find_if(images.begin(), images.end(),
+                                  [&](const CachedImage& c) { return c.name == image; });
+  CachedImage entry{image, gb, present};
+  if (found != images.end()) {
+    entry.present = entry.present || found->present;
+    if (found->present != entry.present) machine.images_changed = true;
+    images.erase(found);
+  } else if (present) {
+    machine.images_changed = true;
+  }
+  images.push_back(entry);
+  double total = 0;
+  for (const auto& cached : images) total += cached.gb;
+  while (images.size() > 1 && total > machine.cache_gb && machine.cache_gb > 0) {
+    total -= images.front().gb;
+    images.erase(images.begin());
+    machine.images_changed = true;
+  }
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/fleet.hpp
@@ -0,0 +1,110 @@
+// Machines, what may possibly be on each of them, and what that makes each team use.
+#pragma once
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+#include "core/bins.hpp"
+#include "core/types.hpp"
+
+namespace violetpulley::core {
+
+// A task that is, or may be, on a machine.
+struct Assignment {
+  Attempt attempt = 0;
+  Resources resources;
+  std::string team;
+  std::string job_class;
+  std::string image;
+  Seconds estimate{0};
+  Seconds fetch{0};  // expected image fetch when placed
+  TimePoint placed{};
+  std::optional<TimePoint> running_since;
+  TaskState state = TaskState::fetching;
+  bool seen = false;       // reported by the worker under this attempt
+  bool stop = false;       // must go
+  bool abandoned = false;  // its job has ended; nothing waits for it
+  std::optional<TimePoint> stop_since;
+};
+
+struct CachedImage {
+  std::string name;
+  double gb = 0;
+  bool present = false;  // false: being fetched
+};
+
+struct Machine {
+  MachineId id;
+  std::string endpoint;  // empty: booting
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  Resources capacity;
+  Resources used;
+  double cache_gb = 0;
+  double fetch_gb_per_s = 0;
+  double price = 0;
+
+  std::uint64_t session = 0;
+  std::uint64_t sequence = 0;
+  bool confirmed = false;   // answered under our token: its list is complete
+  bool registered = false;  // the record with its endpoint is committed
+  bool registering = false;
+  TimePoint since{};  // rented, or first known
+  std::optional<TimePoint> up_since;
+  std::optional<TimePoint> heard;
+  std::optional<TimePoint> notice_ends;
+
+  std::map<TaskKey, Assignment> tasks;
+  std::vector<TaskReport> reported;
+  std::vector<CachedImage> images;  // most recently used last
+  bool images_changed = false;
+
+  bool clearing = false;
+  bool quarantined = false;
+  bool releasing = false;
+  std::optional<TimePoint> release_retry;
+  std::optional<TimePoint> underused_since;
+  std::optional<TimePoint> idle_since;
+  int errors = 0;
+  std::set<JobId> error_jobs;
+
+  bool orders_due = false;
+  bool orders_in_flight = false;
+  TimePoint next_orders{};
+
+  bool up() const { return !endpoint.empty(); }
+  Resources free() const { return capacity - used; }
+  bool has_image(const std::string& image) const;
+  bool fetching_image(const std::string& image) const;
+  // Time until its longest task is expected to end (its bin follows from it).
+  Seconds remaining(TimePoint now) const;
+};
+
+Seconds remaining_of(const Assignment& assignment, TimePoint now);
+
+class Fleet {
+ public:
+  Machine* find(const MachineId& id);
+  const Machine* find(const MachineId& id) const;
+  Machine& add(const MachineId& id);
+  void erase(const MachineId& id);
+
+  void assign(Machine& machine, const TaskKey& task, Assignment assignment);
+  void unassign(Machine& machine, const TaskKey& task);
+
+  // Everything of a team that is possibly on a machine.
+  Resources team_use(const std::string& team) const;
+
+  void touch_image(Machine& machine, const std::string& image, double gb, bool present);
+
+  std::map<MachineId, Machine>& all() { return machines_; }
+  const std::map<MachineId, Machine>& all() const { return machines_; }
+
+ private:
+  std::map<MachineId, Machine> machines_;
+  std::map<std::string, Resources> team_use_;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/job_table.hpp
@@ -0,0 +1,86 @@
+// Unfinished jobs as the leader sees them.
+#pragma once
+
+#include <set>
+#include <unordered_map>
+
+#include "core/actions.hpp"
+
+namespace violetpulley::core {
+
+enum class Phase : std::uint8_t { waiting, assigned, done };
+
+struct Task {
+  Phase phase = Phase::waiting;
+  bool restarted = false;  // by clearing, which happens once at most
+  bool persisted = false;  // its end is in the store
+  MachineId machine;       // when assigned
+  std::string bound;       // rental or booting machine that it waits for
+};
+
+struct Job {
+  JobRecord record;
+  bool carried_over = false;  // accepted before our takeover
+  std::vector<Task> tasks;
+  std::set<TaskIndex> waiting;
+  std::set<TaskIndex> chunks_dirty;
+  std::set<TaskIndex> chunks_in_flight;
+  std::set<TaskIndex> chunks_stored;
+  TaskIndex done = 0;
+  bool finishing = false;
+  TimePoint finish_retry{};
+  TimePoint opened{};
+  std::set<MachineId> failed_on;
+  int failures = 0;
+  TimePoint backoff_until{};
+
+  explicit Job(JobRecord r) : record(std::move(r)), tasks(record.spec.tasks) {
+    for (TaskIndex i = 0; i < record.spec.tasks; ++i) waiting.insert(waiting.end(), i);
+  }
+
+  const JobSpec& spec() const { return record.spec; }
+  bool complete() const { return done == tasks.size(); }
+
+  void set_waiting(TaskIndex index) {
+    auto& task = tasks[index];
+    if (task.phase == Phase::done) return;
+    task.phase = Phase::waiting;
+    task.machine.clear();
+    waiting.insert(index);
+  }
+  void set_assigned(TaskIndex index, const MachineId& machine) {
+    auto& task = tasks[index];
+    task.phase = Phase::assigned;
+    task.machine = machine;
+    task.bound.clear();
+    waiting.erase(index);
+  }
+  void set_done(TaskIndex index) {
+    auto& task = tasks[index];
+    if (task.phase == Phase::done) return;
+    task.phase = Phase::done;
+    task.machine.clear();
+    task.bound.clear();
+    waiting.erase(index);
+    ++done;
+  }
+
+  ProgressRecord progress(TaskIndex chunk) const {
+    ProgressRecord out{record.spec.id, chunk, {}, {}};
+    const TaskIndex first = chunk * kProgressChunk;
+    const auto last = std::min<std::size_t>(tasks.size(), first + kProgressChunk);
+    const auto extend = [](std::vector<IndexRange>& ranges, TaskIndex index) {
+      if (!ranges.empty() && ranges.back().second + 1 == index)
+        ranges.back().second = index;
+      else
+        ranges.emplace_back(index, index);
+    };
+    for (TaskIndex i = first; i < last; ++i) {
+      if (tasks[i].phase == Phase::done) extend(out.done, i);
+      if (tasks[i].restarted) extend(out.restarted, i);
+    }
+    return out;
+  }
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/types.hpp
@@ -0,0 +1,175 @@
+// Vocabulary shared by the whole core. Wire names never appear here: the codecs translate them.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace violetpulley::core {
+
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+using Seconds = std::chrono::duration<double>;
+
+using JobId = std::string;
+using MachineId = std::string;
+using Token = std::uint64_t;
+using Revision = std::uint64_t;
+using Attempt = std::uint64_t;
+using TaskIndex = std::uint32_t;
+
+inline Duration to_duration(Seconds seconds) {
+  return std::chrono::duration_cast<Duration>(seconds);
+}
+
+struct Resources {
+  double cpus = 0;
+  double gpus = 0;
+  double memory_gb = 0;
+
+  Resources& operator+=(const Resources& other) {
+    cpus += other.cpus;
+    gpus += other.gpus;
+    memory_gb += other.memory_gb;
+    return *this;
+  }
+  Resources& operator-=(const Resources& other) {
+    cpus -= other.cpus;
+    gpus -= other.gpus;
+    memory_gb -= other.memory_gb;
+    return *this;
+  }
+  friend Resources operator+(Resources a, const Resources& b) { return a += b; }
+  friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+  friend Resources operator*(Resources a, double n) {
+    return {a.cpus * n, a.gpus * n, a.memory_gb * n};
+  }
+
+  // Amounts are decimal numbers, so sums may be off by a rounding error.
+  static constexpr double kSlack = 1e-6;
+  bool fits_in(const Resources& room) const {
+    return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
+           memory_gb <= room.memory_gb + kSlack;
+  }
+};
+
+enum class Shape { array, gang, service };
+enum class Priority { idle, normal, high, production };
+
+struct JobSpec {
+  JobId id;
+  std::string job_class;
+  std::string team;
+  Shape shape = Shape::array;
+  Priority priority = Priority::normal;
+  TaskIndex tasks = 0;
+  Resources per_task;
+  std::string image;
+  double image_gb = 0;
+  std::vector<std::string> types;  // empty: any
+  std::optional<std::string> zone;
+  bool same_zone = false;
+  bool spread = false;
+  bool spot_allowed = false;
+  Seconds estimate{0};
+  Seconds checkpoint_every{0};
+  Seconds save_time{0};
+  std::optional<Seconds> deadline;  // from submission
+};
+
+struct JobRecord {
+  JobSpec spec;
+  WallTime submitted{};
+  Revision revision = 0;  // of the transaction that accepted the job
+};
+
+enum class FinalState { done, cancelled };
+
+struct Team {
+  std::string name;
+  double guaranteed_cpus = 0;  // 0: no guarantee
+  double max_cpus = 0;         // 0: no limit
+  double guaranteed_gpus = 0;
+  double max_gpus = 0;
+};
+
+struct MachineType {
+  std::string name;
+  Resources capacity;
+  double cache_gb = 0;
+  double fetch_gb_per_s = 0;
+  double price = 0;
+  double spot_price = 0;
+  Seconds boot{0};
+  std::vector<std::string> zones;
+};
+
+enum class TaskState { fetching, waiting, running, saving, exited };
+enum class ExitCause { none, done, stopped, peers_gone, incomplete, error, no_room, busy, unknown };
+
+struct TaskKey {
+  JobId job;
+  TaskIndex index = 0;
+  friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+};
+
+struct TaskReport {
+  TaskKey task;
+  Attempt attempt = 0;
+  TaskState state = TaskState::fetching;
+  ExitCause cause = ExitCause::none;
+};
+
+struct WorkerReport {
+  MachineId machine;
+  std::string endpoint;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  std::uint64_t session = 0;
+  std::uint64_t sequence = 0;
+  Token token = 0;
+  std::optional<Seconds> notice;
+  std::vector<TaskReport> tasks;
+};
+
+enum class Verb { start, stop, forget };
+
+struct Command {
+  Verb verb = Verb::start;
+  TaskKey task;
+  Attempt attempt = 0;
+  Seconds grace{0};
+};
+
+// What the platform's settings file says about workers and the services around us.
+struct WorkerTimes {
+  Seconds report{3};
+  Seconds lease{27};
+  Seconds cancel{47};
+  Seconds gang_wait{35};
+  Seconds gang_peer{4};
+};
+
+// Starting values of the design's open constants; operators may change them in YAML.
+struct Tuning {
+  Seconds bin_unit{1};
+  Seconds round{2};
+  Seconds quick_round{0.1};
+  Seconds clearing_wait{30};
+  double clearing_use = 0.5;
+  Seconds idle_wait{25};
+  double boot_late_factor = 2.0;
+  Seconds refused_rest{15};
+  Seconds silent_after{7};
+  Seconds lost_after{9};
+  bool bound_tasks_may_move = true;
+  int quarantine_errors = 3;
+  double spare_share = 0.0;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/leader.hpp
@@ -0,0 +1,72 @@
+// The leading controller's shell: reads what it inherits, feeds the core and carries out what the
+// core asks for. It exists only while this node leads.
+#pragma once
+
+#include "agent/orders_sender.hpp"
+#include "cloud/cloud_client.hpp"
+#include "config/settings.hpp"
+#include "core/controller.hpp"
+#include "net/http_server.hpp"
+#include "store/election.hpp"
+#include "store/job_mirror.hpp"
+#include "store/leader_writer.hpp"
+
+namespace violetpulley {
+
+class Leader {
+ public:
+  Leader(asio::io_context& io, const config::Settings& settings, const core::Tuning& tuning,
+         core::Leadership& leadership, store::Election& election, store::StoreClient& store,
+         store::JobMirror& mirror, cloud::CloudClient& cloud);
+  ~Leader();
+  Leader(const Leader&) = delete;
+  Leader& operator=(const Leader&) = delete;
+
+  bool ready() const { return controller_ != nullptr; }
+  void handle_report(const net::Request& request, const net::Responder& respond);
+  void job_opened(const core::JobRecord& record);
+  void job_closed(const core::JobId& id);
+  void set_catalog(const std::vector<core::MachineType>& types);
+  const core::Controller* controller() const { return controller_.get(); }
+
+ private:
+  void load();
+  void load_again();
+  void take_over();
+  void pump_soon();
+  void pump();
+  void every();
+  void carry_out(core::Action& action);
+  void verify_jobs();
+  void list_machines();
+  void finish(const core::FinishJob& action);
+
+  asio::io_context& io_;
+  const config::Settings& settings_;
+  const core::Tuning& tuning_;
+  core::Leadership& leadership_;
+  store::Election& election_;
+  store::StoreClient& store_;
+  store::JobMirror& mirror_;
+  cloud::CloudClient& cloud_;
+  core::Token token_;
+  core::TimePoint won_at_;
+
+  store::LeaderWriter writer_;
+  agent::OrdersSender orders_;
+  asio::steady_timer load_timer_;
+  asio::steady_timer tick_timer_;
+  asio::steady_timer verify_timer_;
+  std::unique_ptr<core::Controller> controller_;
+  std::vector<core::MachineType> types_;
+  core::Inheritance inheritance_;
+  std::map<core::JobId, core::JobRecord> unverified_;
+  bool verifying_ = false;
+  bool pump_posted_ = false;
+  core::TimePoint last_list_{};
+  core::TimePoint last_summary_{};
+  bool listing_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace violetpulley
--- /dev/null
+++ b/src/mesh/mesh.hpp
@@ -0,0 +1,73 @@
+// What the controllers tell each other: short versioned messages in msgpack, each preceded by its
+// length. The mesh carries hints only; nothing that a rule depends on.
+#pragma once
+
+#include <asio.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <msgpack.hpp>
+#include <set>
+
+#include "config/settings.hpp"
+#include "core/types.hpp"
+
+namespace violetpulley::mesh {
+
+struct JobCount {
+  std::string id;
+  std::uint32_t done = 0;
+  std::uint32_t running = 0;
+  MSGPACK_DEFINE(id, done, running)
+};
+
+struct Status {
+  std::uint32_t version = 1;
+  std::string member;
+  // How long ago the state service last answered, in milliseconds on the wire.
+  std::uint64_t store_silence_ms = 0;
+  std::uint64_t token = 0;  // 0: does not lead
+  std::vector<JobCount> counts;
+  MSGPACK_DEFINE(version, member, store_silence_ms, token, counts)
+};
+
+inline constexpr std::uint32_t kVersion = 1;
+inline constexpr std::size_t kMaxFrame = 1 << 20;
+
+std::string encode(const Status& status);
+// Throws on anything malformed or of another version.
+Status decode(const char* data, std::size_t size);
+
+class PeerLink;
+class PeerSession;
+
+class Mesh {
+ public:
+  struct Events {
+    std::function<void(const Status&)> heard;
+    // The sibling closed its connection and refuses new ones: its process has most likely ended.
+    std::function<void(const std::string& member)> gone;
+  };
+
+  Mesh(asio::io_context& io, const asio::ip::tcp::endpoint& at,
+       const std::vector<config::Sibling>& siblings, Events events);
+  ~Mesh();
+  Mesh(const Mesh&) = delete;
+  Mesh& operator=(const Mesh&) = delete;
+
+  void broadcast(const Status& status);
+
+ private:
+  friend class PeerLink;
+  friend class PeerSession;
+  void accept();
+
+  asio::io_context& io_;
+  asio::ip::tcp::acceptor acceptor_;
+  Events events_;
+  std::vector<std::shared_ptr<PeerLink>> links_;
+  std::set<std::shared_ptr<PeerSession>> sessions_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace violetpulley::mesh
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,264 @@
+#include "net/http_server.hpp"
+
+#include <http_parser.h>
+#include <spdlog/spdlog.h>
+
+#include <array>
+
+namespace violetpulley::net {
+
+using asio::ip::tcp;
+
+namespace {
+
+const char* reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 201: return "Created";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 409: return "Conflict";
+    case 413: return "Payload Too Large";
+    case 421: return "Misdirected Request";
+    case 422: return "Unprocessable Entity";
+    case 429: return "Too Many Requests";
+    case 503: return "Service Unavailable";
+    default: return "Status";
+  }
+}
+
+}  // namespace
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(tcp::socket socket, HttpServer& server)
+      : socket_(std::move(socket)), server_(&server) {
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+    touch();
+  }
+
+  void start() { read(); }
+
+  void close() {
+    if (closed_) return;
+    closed_ = true;
+    asio::error_code ignored;
+    socket_.close(ignored);
+    if (server_ != nullptr) server_->connections_.erase(shared_from_this());
+    server_ = nullptr;
+  }
+
+  void detach() {
+    server_ = nullptr;
+    close();
+  }
+
+  void respond(std::uint64_t request, Response&& response) {
+    if (closed_ || request != request_ || !awaiting_answer_) return;
+    awaiting_answer_ = false;
+    send(std::move(response));
+  }
+
+  bool overdue(std::chrono::steady_clock::time_point now, const ServerLimits& limits) const {
+    if (awaiting_answer_) return false;
+    const auto quiet = now - touched_;
+    return receiving_ || writing_ ? quiet > limits.receive : quiet > limits.idle;
+  }
+
+ private:
+  void touch() { touched_ = std::chrono::steady_clock::now(); }
+
+  void read() {
+    auto self = shared_from_this();
+    socket_.async_read_some(asio::buffer(input_),
+                            [self](const asio::error_code& error, std::size_t size) {
+                              if (self->closed_) return;
+                              if (error) return self->close();
+                              self->pending_.append(self->input_.data(), size);
+                              self->parse();
+                            });
+  }
+
+  void parse() {
+    if (!receiving_) touch();
+    receiving_ = true;
+    const std::size_t used =
+        http_parser_execute(&parser_, &settings(), pending_.data(), pending_.size());
+    const auto problem = HTTP_PARSER_ERRNO(&parser_);
+    if (problem == HPE_PAUSED) {
+      pending_.erase(0, used);
+      http_parser_pause(&parser_, 0);
+      receiving_ = false;
+      return dispatch();
+    }
+    if (problem != HPE_OK || parser_.upgrade != 0U) {
+      keep_alive_ = false;
+      receiving_ = false;
+      return send(too_large_ ? Response{413, R"({"error":"body too large"})", {}}
+                             : Response{400, R"({"error":"malformed HTTP"})", {}});
+    }
+    pending_.clear();
+    read();
+  }
+
+  void dispatch() {
+    ++request_;
+    awaiting_answer_ = true;
+    keep_alive_ = http_should_keep_alive(&parser_) != 0;
+    current_.method = http_method_str(static_cast<http_method>(parser_.method));
+    Request request = std::exchange(current_, Request{});
+    header_bytes_ = 0;
+    if (server_ == nullptr) return;
+    server_->handler_(std::move(request), Responder(weak_from_this(), request_));
+  }
+
+  void send(Response&& response) {
+    output_ = "HTTP/1.1 " + std::to_string(response.status) + " " + reason(response.status) +
+              "\r\nContent-Type: application/json\r\nContent-Length: " +
+              std::to_string(response.body.size()) + "\r\n";
+    if (response.retry_after)
+      output_ += "Retry-After: " + std::to_string(response.retry_after->count()) + "\r\n";
+    if (!keep_alive_) output_ += "Connection: close\r\n";
+    output_ += "\r\n";
+    output_ += response.body;
+    writing_ = true;
+    touch();
+    auto self = shared_from_this();
+    asio::async_write(socket_, asio::buffer(output_),
+                      [self](const asio::error_code& error, std::size_t) {
+                        if (self->closed_) return;
+                        self->writing_ = false;
+                        self->touch();
+                        if (error || !self->keep_alive_) return self->close();
+                        if (self->pending_.empty())
+                          self->read();
+                        else
+                          self->parse();
+                      });
+  }
+
+  static const http_parser_settings& settings() {
+    static const http_parser_settings instance = [] {
+      http_parser_settings s;
+      http_parser_settings_init(&s);
+      s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+        auto& self = *static_cast<ServerConnection*>(p->data);
+        self.current_.target.append(at, n);
+        return self.current_.target.size() > 4096 ? 1 : 0;
+      };
+      // Guards memory: header lines are not kept, but an endless header is refused.
+      auto count_header = [](http_parser* p, const char*, std::size_t n) {
+        auto& self = *static_cast<ServerConnection*>(p->data);
+        self.header_bytes_ += n;
+        return self.header_bytes_ > 16 * 1024 ? 1 : 0;
+      };
+      s.on_header_field = count_header;
+      s.on_header_value = count_header;
+      s.on_headers_complete = [](http_parser* p) {
+        auto& self = *static_cast<ServerConnection*>(p->data);
+        const bool known = p->content_length != static_cast<std::uint64_t>(-1);
+        self.too_large_ = known && self.server_ != nullptr &&
+                          p->content_length > self.server_->limits_.max_body;
+        return self.too_large_ ? -1 : 0;
+      };
+      s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        auto& self = *static_cast<ServerConnection*>(p->data);
+        self.current_.body.append(at, n);
+        self.too_large_ =
+            self.server_ != nullptr && self.current_.body.size() > self.server_->limits_.max_body;
+        return self.too_large_ ? 1 : 0;
+      };
+      s.on_message_complete = [](http_parser* p) {
+        http_parser_pause(p, 1);
+        return 0;
+      };
+      return s;
+    }();
+    return instance;
+  }
+
+  tcp::socket socket_;
+  HttpServer* server_;
+  http_parser parser_{};
+  std::array<char, 4096> input_{};
+  std::string pending_;
+  std::string output_;
+  Request current_;
+  std::size_t header_bytes_ = 0;
+  std::uint64_t request_ = 0;
+  std::chrono::steady_clock::time_point touched_;
+  bool awaiting_answer_ = false;
+  bool receiving_ = false;
+  bool writing_ = false;
+  bool keep_alive_ = true;
+  bool too_large_ = false;
+  bool closed_ = false;
+};
+
+void Responder::operator()(Response response) const {
+  if (auto connection = connection_.lock()) connection->respond(request_, std::move(response));
+}
+
+HttpServer::HttpServer(asio::io_context& io, const tcp::endpoint& at, ServerLimits limits,
+                       RequestHandler handler)
+    : acceptor_(io, at),
+      sweep_timer_(io),
+      accept_retry_(io),
+      limits_(limits),
+      handler_(std::move(handler)) {
+  accept();
+  sweep();
+}
+
+HttpServer::~HttpServer() { stop(); }
+
+void HttpServer::stop() {
+  *alive_ = false;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  sweep_timer_.cancel();
+  accept_retry_.cancel();
+  auto connections = std::exchange(connections_, {});
+  for (const auto& connection : connections) connection->detach();
+}
+
+void HttpServer::accept() {
+  acceptor_.async_accept([this, alive = alive_](const asio::error_code& error, tcp::socket socket) {
+    if (!*alive) return;
+    if (error) {
+      // Out of sockets: wait a little rather than spin.
+      accept_retry_.expires_after(std::chrono::milliseconds(50));
+      accept_retry_.async_wait([this, alive](const asio::error_code& e) {
+        if (*alive && !e) accept();
+      });
+      return;
+    }
+    if (connections_.size() < limits_.max_connections) {
+      asio::error_code ignored;
+      socket.set_option(tcp::no_delay(true), ignored);
+      auto connection = std::make_shared<ServerConnection>(std::move(socket), *this);
+      connections_.insert(connection);
+      connection->start();
+    } else {
+      spdlog::warn("connection refused: {} connections are open", connections_.size());
+    }
+    accept();
+  });
+}
+
+void HttpServer::sweep() {
+  sweep_timer_.expires_after(std::chrono::seconds(2));
+  sweep_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+    if (!*alive || error) return;
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::shared_ptr<ServerConnection>> overdue;
+    for (const auto& connection : connections_)
+      if (connection->overdue(now, limits_)) overdue.push_back(connection);
+    for (const auto& connection : overdue) connection->close();
+    sweep();
+  });
+}
+
+}  // namespace violetpulley::net
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,243 @@
+#include "node.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace violetpulley {
+
+using core::Clock;
+using std::chrono::milliseconds;
+using store::Json;
+using store::Outcome;
+using store::Urgency;
+
+namespace {
+
+constexpr std::chrono::seconds kStoreLost{3};
+constexpr std::chrono::seconds kCatalogEvery{30};
+const std::string kCatalogKey = "catalog";
+
+std::uint64_t seed_of(const std::string& member) {
+  return std::hash<std::string>{}(member) ^ 0x9E3779B97F4A7C15ULL;
+}
+
+net::ServerLimits server_limits(const config::Settings& settings) {
+  net::ServerLimits limits;
+  // Sockets are also needed for workers, the store, the cloud and siblings.
+  limits.max_connections = std::max<std::size_t>(20, settings.max_sockets * 7 / 10);
+  limits.max_connections = std::min<std::size_t>(limits.max_connections, 4000);
+  return limits;
+}
+
+}  // namespace
+
+Node::Node(asio::io_context& io, config::Settings settings, core::Tuning tuning)
+    : io_(io),
+      settings_(std::move(settings)),
+      tuning_(tuning),
+      leadership_(settings_.workers, settings_.clock_skew),
+      store_(io, net::parse_endpoint(settings_.state_address), share(false),
+             seed_of(settings_.member)),
+      mirror_(io, store_,
+              {[this](const core::JobRecord& record) {
+                 if (leader_) leader_->job_opened(record);
+               },
+               [this](const core::JobId& id) {
+                 told_counts_.erase(id);
+                 if (leader_) leader_->job_closed(id);
+               }}),
+      election_(io, store_, leadership_, settings_.member, settings_.mesh_address,
+                {[this] { won(); }, [this](const std::string&) { lost(); }, [] {}},
+                seed_of(settings_.member) + 1),
+      cloud_(io, net::parse_endpoint(settings_.cloud_address),
+             settings_.cloud_requests_per_s * 0.8),
+      users_(io, store_, mirror_,
+             {settings_.teams, settings_.zones,
+              [this]() -> const std::vector<core::MachineType>& { return types_; },
+              [this](const core::JobId& id) { return counts(id); }}),
+      second_timer_(io),
+      catalog_timer_(io),
+      started_(Clock::now()),
+      store_answered_(started_),
+      mesh_(io, net::parse_endpoint(settings_.mesh_address), settings_.siblings,
+            {[this](const mesh::Status& status) { heard(status); },
+             [this](const std::string& member) { election_.end_hold_of(member); }}),
+      server_(io, net::parse_endpoint(settings_.public_address), server_limits(settings_),
+              [this](net::Request&& request, const net::Responder& respond) {
+                route(std::move(request), respond);
+              }) {
+  mirror_.start();
+  election_.start();
+  fetch_catalog();
+  every_second();
+  spdlog::info("{} serves on {}, mesh on {}, {} siblings", settings_.member,
+               settings_.public_address, settings_.mesh_address, settings_.siblings.size());
+}
+
+Node::~Node() { *alive_ = false; }
+
+store::StoreShare Node::share(bool leading) const {
+  const auto nodes = static_cast<double>(settings_.nodes());
+  // The leader writes for all; the others accept, cancel and read.
+  const double leader_part = nodes > 1 ? 0.5 : 0.9;
+  const double part = leading ? leader_part : 0.45 / std::max(1.0, nodes - 1);
+  return {settings_.state_requests_per_s * part, settings_.state_writes_per_s * part};
+}
+
+void Node::won() {
+  store_.set_share(share(true));
+  leader_ = std::make_unique<Leader>(io_, settings_, tuning_, leadership_, election_, store_,
+                                     mirror_, cloud_);
+  if (!types_.empty()) leader_->set_catalog(types_);
+  fetch_catalog_later(milliseconds(500));
+}
+
+void Node::lost() {
+  store_.set_share(share(false));
+  // The leader may be in the middle of a callback: it ends when that has returned.
+  if (leader_) asio::post(io_, [old = std::shared_ptr<Leader>(std::move(leader_))] {});
+}
+
+void Node::catalog_known(std::vector<core::MachineType> types) {
+  types_ = std::move(types);
+  if (leader_) leader_->set_catalog(types_);
+}
+
+void Node::fetch_catalog_later(milliseconds wait) {
+  catalog_timer_.expires_after(wait);
+  catalog_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+    if (*alive && !error) fetch_catalog();
+  });
+}
+
+// The leader keeps the cloud's catalog in the store, so that a restart during an outage of the
+// cloud still knows the machine types. Only the leader reads prices again.
+void Node::fetch_catalog() {
+  if (leadership_.leading()) return fetch_catalog_from_cloud();
+  if (!types_.empty()) return;
+  store_.get(kCatalogKey, Urgency::normal, [this, alive = alive_](store::GetResult result) {
+    if (!*alive) return;
+    if (result.outcome == Outcome::ok) {
+      try {
+        return catalog_known(cloud::parse_catalog(result.item.value.dump()));
+      } catch (const std::exception& problem) {
+        spdlog::error("the stored catalog cannot be read: {}", problem.what());
+      }
+    }
+    fetch_catalog_from_cloud();
+  });
+}
+
+void Node::fetch_catalog_from_cloud() {
+  cloud_.catalog([this, alive = alive_](std::optional<cloud::CloudClient::Catalog> catalog) {
+    if (!*alive) return;
+    if (!catalog) return fetch_catalog_later(milliseconds(1500));
+    catalog_known(std::move(catalog->types));
+    if (!leadership_.leading()) return;
+    if (!catalog_saved_) {
+      store::Transaction save{{{"leader", leadership_.token()}},
+                              {{kCatalogKey, Json::parse(catalog->body), std::nullopt}}};
+      store_.commit(save, Urgency::normal, [this, alive](store::TransactionResult result) {
+        if (*alive) catalog_saved_ = result.outcome == Outcome::ok;
+      });
+    }
+    fetch_catalog_later(kCatalogEvery);
+  });
+}
+
+core::JobCounts Node::counts(const core::JobId& id) const {
+  if (leader_ && leader_->ready())
+    if (const auto known = leader_->controller()->counts(id)) return *known;
+  const auto told = told_counts_.find(id);
+  return told == told_counts_.end() ? core::JobCounts{} : told->second;
+}
+
+void Node::heard(const mesh::Status& status) {
+  const auto now = Clock::now();
+  auto& view = siblings_[status.member];
+  view.heard = now;
+  view.store_answered = now - milliseconds(std::min<std::uint64_t>(status.store_silence_ms, 1'000'000));
+  view.token = status.token;
+  for (const auto& count : status.counts)
+    if (mirror_.find(count.id) != nullptr) told_counts_[count.id] = {count.done, count.running};
+}
+
+void Node::tell_siblings() {
+  mesh::Status status;
+  status.member = settings_.member;
+  status.store_silence_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(Clock::now() - store_answered_).count());
+  status.token = leadership_.token();
+  if (leader_ && leader_->ready())
+    for (const auto& [id, job] : leader_->controller()->jobs()) {
+      const auto known = leader_->controller()->counts(id);
+      if (known && (known->done > 0 || known->running > 0) && status.counts.size() < 2000)
+        status.counts.push_back({id, known->done, known->running});
+    }
+  mesh_.broadcast(status);
+}
+
+void Node::every_second() {
+  second_timer_.expires_after(std::chrono::seconds(1));
+  second_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+    if (!*alive || error) return;
+    store_.get(kCatalogKey, Urgency::normal, [this, alive](store::GetResult result) {
+      if (*alive && (result.outcome == Outcome::ok || result.outcome == Outcome::not_found))
+        store_answered_ = Clock::now();
+    });
+    tell_siblings();
+    every_second();
+  });
+}
+
+// A node alone in having lost the store is unhealthy. In an outage that all share it stays: each
+// removal would double the time that it stays out afterwards.
+bool Node::healthy() const {
+  const auto now = Clock::now();
+  if (!mirror_.synced()) return false;
+  if (now - store_answered_ < kStoreLost) return true;
+  bool any_heard = settings_.siblings.empty();
+  for (const auto& [member, view] : siblings_) {
+    if (now - view.heard > kStoreLost) continue;
+    any_heard = true;
+    if (now - view.store_answered < kStoreLost) return false;
+  }
+  return any_heard || now - store_answered_ < 2 * kStoreLost;
+}
+
+void Node::health(const net::Responder& respond) {
+  if (healthy()) return respond({200, R"({"status":"ok"})", {}});
+  respond({503, R"({"status":"the state service is out of reach"})", std::chrono::seconds(1)});
+}
+
+void Node::report(const net::Request& request, const net::Responder& respond) {
+  if (leader_ && leader_->ready()) return leader_->handle_report(request, respond);
+  const auto member = election_.current_member();
+  if (!member.empty() && member != settings_.member)
+    return respond({421, Json{{"foreman", member}}.dump(), {}});
+  respond({503, R"({"error":"no leader is known"})", std::chrono::seconds(1)});
+}
+
+void Node::route(net::Request&& request, const net::Responder& respond) {
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const net::Response wrong_method{405, R"({"error":"method not allowed"})", {}};
+  if (path == "/agent/beat")
+    return request.method == "POST" ? report(request, respond) : respond(wrong_method);
+  if (path == "/healthz")
+    return request.method == "GET" ? health(respond) : respond(wrong_method);
+  if (path == "/v1/jobs")
+    return request.method == "POST" ? users_.submit(request, respond) : respond(wrong_method);
+  static const std::string jobs = "/v1/jobs/";
+  static const std::string withdraw = "/withdraw";
+  if (path.starts_with(jobs)) {
+    auto id = path.substr(jobs.size());
+    if (id.ends_with(withdraw)) {
+      id.resize(id.size() - withdraw.size());
+      return request.method == "POST" ? users_.cancel(id, respond) : respond(wrong_method);
+    }
+    if (id.find('/') == std::string::npos)
+      return request.method == "GET" ? users_.poll(id, respond) : respond(wrong_method);
+  }
+  respond({404, R"({"error":"no such path"})", {}});
+}
+
+}  // namespace violetpulley
--- /dev/null
+++ b/src/node.hpp
@@ -0,0 +1,63 @@
+// One controller process: joins the parts and owns them.
+#pragma once
+
+#include "api/user_api.hpp"
+#include "leader.hpp"
+#include "mesh/mesh.hpp"
+
+namespace violetpulley {
+
+class Node {
+ public:
+  Node(asio::io_context& io, config::Settings settings, core::Tuning tuning);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+ private:
+  struct SiblingView {
+    core::TimePoint heard{};
+    core::TimePoint store_answered{};
+    std::uint64_t token = 0;
+  };
+
+  void route(net::Request&& request, const net::Responder& respond);
+  void report(const net::Request& request, const net::Responder& respond);
+  void health(const net::Responder& respond);
+  bool healthy() const;
+  void every_second();
+  void tell_siblings();
+  void heard(const mesh::Status& status);
+  void won();
+  void lost();
+  void fetch_catalog();
+  void fetch_catalog_from_cloud();
+  void fetch_catalog_later(std::chrono::milliseconds wait);
+  void catalog_known(std::vector<core::MachineType> types);
+  core::JobCounts counts(const core::JobId& id) const;
+  store::StoreShare share(bool leading) const;
+
+  asio::io_context& io_;
+  config::Settings settings_;
+  core::Tuning tuning_;
+  core::Leadership leadership_;
+  store::StoreClient store_;
+  store::JobMirror mirror_;
+  store::Election election_;
+  cloud::CloudClient cloud_;
+  api::UserApi users_;
+  std::unique_ptr<Leader> leader_;
+  asio::steady_timer second_timer_;
+  asio::steady_timer catalog_timer_;
+  std::vector<core::MachineType> types_;
+  std::map<std::string, SiblingView> siblings_;
+  std::unordered_map<core::JobId, core::JobCounts> told_counts_;
+  core::TimePoint started_;
+  core::TimePoint store_answered_;
+  bool catalog_saved_ = false;
+  mesh::Mesh mesh_;
+  net::HttpServer server_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace violetpulley
--- /dev/null
+++ b/src/store/election.cpp
@@ -0,0 +1,205 @@
+#include "store/election.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace violetpulley::store {
+
+using core::Clock;
+using std::chrono::milliseconds;
+
+namespace {
+constexpr milliseconds kHoldTime{3000};
+constexpr milliseconds kRenewEvery{800};
+constexpr milliseconds kWatchBlock{8000};
+const std::string kKey = "leader";
+}  // namespace
+
+Election::Election(asio::io_context& io, StoreClient& store, core::Leadership& leadership,
+                   std::string member, std::string mesh_address, Events events,
+                   std::uint64_t seed)
+    : store_(store),
+      leadership_(leadership),
+      member_(std::move(member)),
+      mesh_address_(std::move(mesh_address)),
+      events_(std::move(events)),
+      renew_timer_(io),
+      watch_timer_(io),
+      random_(seed) {}
+
+Election::~Election() { *alive_ = false; }
+
+void Election::start() { reload(); }
+
+void Election::retry(void (Election::*step)(), milliseconds least) {
+  std::uniform_int_distribution<long> jitter(0, least.count() / 2);
+  watch_timer_.expires_after(least + milliseconds(jitter(random_)));
+  watch_timer_.async_wait([this, step, alive = alive_](const asio::error_code& error) {
+    if (*alive && !error) (this->*step)();
+  });
+}
+
+void Election::reload() {
+  store_.list(kKey, Urgency::safety, [this, alive = alive_](ListResult result) {
+    if (!*alive) return;
+    if (result.outcome != Outcome::ok) return retry(&Election::reload, milliseconds(300));
+    last_answer_ = Clock::now();
+    if (result.revision > seen_) {
+      seen_ = result.revision;
+      std::optional<Json> value;
+      Revision revision = 0;
+      for (auto& item : result.items)
+        if (item.key == kKey) {
+          value = std::move(item.value);
+          revision = item.revision;
+        }
+      apply(value, revision);
+    }
+    if (!leader_) stand();
+    watch();
+  });
+}
+
+void Election::watch() {
+  store_.changes(kKey, seen_, kWatchBlock, Urgency::safety,
+                 [this, alive = alive_](ChangesResult result) {
+                   if (!*alive) return;
+                   if (result.outcome != Outcome::ok)
+                     return retry(&Election::reload, milliseconds(200));
+                   last_answer_ = Clock::now();
+                   for (auto& change : result.changes)
+                     if (change.key == kKey && change.revision > seen_)
+                       apply(change.value, change.revision);
+                   seen_ = std::max(seen_, result.revision);
+                   if (!leader_) stand();
+                   watch();
+                 });
+}
+
+void Election::apply(const std::optional<Json>& value, Revision revision) {
+  if (value) {
+    try {
+      leader_ = LeaderInfo{value->at("member").get<std::string>(),
+                           value->at("mesh").get<std::string>(),
+                           value->at("hold").get<std::uint64_t>(), revision};
+    } catch (const std::exception& problem) {
+      spdlog::error("the leader key holds nonsense: {}", problem.what());
+      leader_ = LeaderInfo{"", "", 0, revision};
+    }
+    if (leadership_.leading() && revision > leadership_.token()) lose("another node leads");
+  } else {
+    leader_.reset();
+    if (leadership_.leading() && revision > leadership_.token()) lose("the leader key is gone");
+  }
+  events_.leader_changed();
+}
+
+void Election::stand() {
+  if (standing_ || leadership_.leading()) return;
+  const auto now = Clock::now();
+  if (now < stand_back_until_) {
+    renew_timer_.expires_at(stand_back_until_);
+    renew_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+      if (*alive && !error && !leader_) stand();
+    });
+    return;
+  }
+  standing_ = true;
+  const auto again = [this] {
+    standing_ = false;
+    std::uniform_int_distribution<long> jitter(100, 300);
+    renew_timer_.expires_after(milliseconds(jitter(random_)));
+    renew_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+      if (*alive && !error && !leader_) stand();
+    });
+  };
+  store_.create_hold(kHoldTime, [this, again, alive = alive_](Outcome outcome,
+                                                              std::uint64_t hold) {
+    if (!*alive) return;
+    if (outcome != Outcome::ok) return again();
+    if (leader_) {
+      standing_ = false;
+      return store_.end_hold(hold);
+    }
+    const auto sent = Clock::now();
+    Transaction create{{{kKey, 0}},
+                       {{kKey,
+                         Json{{"member", member_}, {"mesh", mesh_address_}, {"hold", hold}},
+                         hold}}};
+    store_.commit(create, Urgency::safety,
+                  [this, again, hold, sent, alive](TransactionResult result) {
+                    if (!*alive) return;
+                    if (result.outcome != Outcome::ok) {
+                      // Without an answer the key may exist under this hold: end it with the hold.
+                      store_.end_hold(hold);
+                      return again();
+                    }
+                    standing_ = false;
+                    last_answer_ = Clock::now();
+                    leadership_.won(result.revision, hold, sent);
+                    leader_ = LeaderInfo{member_, mesh_address_, hold, result.revision};
+                    spdlog::info("won leadership: token {}", result.revision);
+                    renew_later(kRenewEvery);
+                    events_.leader_changed();
+                    events_.won();
+                  });
+  });
+}
+
+void Election::renew_later(milliseconds wait) {
+  renew_timer_.expires_after(wait);
+  renew_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+    if (*alive && !error && leadership_.leading()) renew();
+  });
+}
+
+void Election::renew() {
+  const auto sent = Clock::now();
+  const auto token = leadership_.token();
+  store_.extend_hold(leadership_.hold(), [this, sent, token, alive = alive_](Outcome outcome) {
+    if (!*alive || leadership_.token() != token) return;
+    if (outcome == Outcome::not_found) return lose("its hold has run out");
+    if (outcome == Outcome::ok) {
+      leadership_.proved(sent);
+      last_answer_ = Clock::now();
+    }
+    renew_later(outcome == Outcome::ok ? kRenewEvery : milliseconds(250));
+  });
+}
+
+void Election::prove(std::function<void(bool)> done) {
+  const auto sent = Clock::now();
+  const auto token = leadership_.token();
+  store_.get(kKey, Urgency::safety,
+             [this, sent, token, done = std::move(done), alive = alive_](GetResult result) {
+               if (!*alive) return;
+               const bool ours = result.outcome == Outcome::ok && token != 0 &&
+                                 result.item.revision == token && leadership_.token() == token;
+               if (ours) leadership_.proved(sent);
+               done(ours);
+             });
+}
+
+void Election::lose(const std::string& cause) {
+  if (!leadership_.leading()) return;
+  spdlog::warn("lost leadership: {}", cause);
+  leadership_.lost();
+  renew_timer_.cancel();
+  if (leader_ && leader_->member == member_) leader_.reset();
+  events_.lost(cause);
+}
+
+void Election::resign(const std::string& cause, milliseconds stand_back) {
+  if (!leadership_.leading()) return;
+  stand_back_until_ = Clock::now() + stand_back;
+  const auto hold = leadership_.hold();
+  lose(cause);
+  store_.end_hold(hold);
+}
+
+void Election::end_hold_of(const std::string& member) {
+  if (!leader_ || leader_->member != member || member == member_) return;
+  spdlog::info("leader {} is gone: ending its hold", member);
+  store_.end_hold(leader_->hold);
+}
+
+}  // namespace violetpulley::store
--- /dev/null
+++ b/src/store/store_client.cpp
@@ -0,0 +1,265 @@
+#include "store/store_client.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace violetpulley::store {
+
+using std::chrono::milliseconds;
+using core::Clock;
+
+namespace {
+
+constexpr milliseconds kTimeout{1500};
+
+Outcome outcome_of(const std::optional<net::Response>& response) {
+  if (!response) return Outcome::unknown;
+  switch (response->status) {
+    case 200: return Outcome::ok;
+    case 404: return Outcome::not_found;
+    case 409: return Outcome::conflict;
+    case 410: return Outcome::too_old;
+    default: return Outcome::refused;
+  }
+}
+
+// A nonsense answer counts as no answer.
+template <typename Read>
+Outcome read_body(const net::Response& response, Read read) {
+  try {
+    const auto body = Json::parse(response.body);
+    read(body);
+    return outcome_of(response);
+  } catch (const std::exception& problem) {
+    spdlog::warn("state service sent nonsense, taken as no answer: {}", problem.what());
+    return Outcome::unknown;
+  }
+}
+
+}  // namespace
+
+StoreClient::StoreClient(asio::io_context& io, const asio::ip::tcp::endpoint& peer,
+                         StoreShare share, std::uint64_t seed)
+    : timer_(io),
+      client_(io, peer, 16),
+      watch_client_(io, peer, 6),
+      requests_(share.requests_per_s, share.requests_per_s * 0.5),
+      writes_(share.writes_per_s, share.writes_per_s),
+      random_(seed) {}
+
+StoreClient::~StoreClient() { *alive_ = false; }
+
+void StoreClient::set_share(StoreShare share) {
+  requests_.set_rate(share.requests_per_s, share.requests_per_s * 0.5);
+  writes_.set_rate(share.writes_per_s, share.writes_per_s);
+}
+
+void StoreClient::send(Work work, Urgency urgency) {
+  if (urgency == Urgency::safety) {
+    requests_.force(Clock::now());
+    writes_.force(Clock::now(), work.writes);
+    return launch(std::move(work), false);
+  }
+  queue_.push_back(std::move(work));
+  pump();
+}
+
+void StoreClient::launch(Work work, bool watching) {
+  auto handler = [this, alive = alive_, done = std::move(work.handler)](
+                     std::optional<net::Response> response) {
+    if (!*alive) return;
+    if (response && response->status == 429) {
+      back_off_ = std::clamp(back_off_ * 2, milliseconds(50), milliseconds(1000));
+      std::uniform_int_distribution<long> jitter(back_off_.count() / 2, back_off_.count());
+      resume_at_ = Clock::now() + milliseconds(jitter(random_));
+      spdlog::debug("state service: 429, backing off {} ms", back_off_.count());
+    } else if (response) {
+      back_off_ = milliseconds(0);
+    }
+    done(std::move(response));
+  };
+  auto& client = watching ? watch_client_ : client_;
+  client.request(std::move(work.request), work.timeout, std::move(handler));
+}
+
+void StoreClient::pump() {
+  if (pumping_) return;
+  while (!queue_.empty()) {
+    const auto now = Clock::now();
+    auto wait = std::max(requests_.wait_for(now), resume_at_ - now);
+    if (queue_.front().writes > 0)
+      wait = std::max(wait, writes_.wait_for(now, queue_.front().writes));
+    if (wait > core::Duration::zero()) {
+      pumping_ = true;
+      timer_.expires_after(wait);
+      timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+        if (!*alive || error) return;
+        pumping_ = false;
+        pump();
+      });
+      return;
+    }
+    requests_.force(now);
+    writes_.force(now, queue_.front().writes);
+    auto work = std::move(queue_.front());
+    queue_.pop_front();
+    launch(std::move(work), false);
+  }
+}
+
+void StoreClient::get(const std::string& key, Urgency urgency,
+                      std::function<void(GetResult)> done) {
+  send({{"GET", "/store/" + key, ""},
+        kTimeout,
+        0,
+        [done = std::move(done)](std::optional<net::Response> response) {
+          GetResult result;
+          result.outcome = outcome_of(response);
+          if (result.outcome == Outcome::ok)
+            result.outcome = read_body(*response, [&](const Json& body) {
+              result.item = {body.at("k").get<std::string>(), body.at("v"),
+                             body.at("stamp").get<Revision>()};
+            });
+          done(std::move(result));
+        }},
+       urgency);
+}
+
+void StoreClient::list(const std::string& prefix, Urgency urgency,
+                       std::function<void(ListResult)> done) {
+  list_page(prefix, "", urgency, std::make_shared<ListResult>(), std::move(done));
+}
+
+void StoreClient::list_page(const std::string& prefix, const std::string& since, Urgency urgency,
+                            std::shared_ptr<ListResult> gathered,
+                            std::function<void(ListResult)> done) {
+  std::string target = "/store?prefix=" + prefix;
+  if (!since.empty()) target += "&since=" + since;
+  target += "&page=1000";
+  send({{"GET", target, ""},
+        kTimeout,
+        0,
+        [=, this, alive = alive_](std::optional<net::Response> response) {
+          auto outcome = outcome_of(response);
+          bool more = false;
+          if (outcome == Outcome::ok)
+            outcome = read_body(*response, [&](const Json& body) {
+              if (gathered->revision == 0) gathered->revision = body.at("ledger").get<Revision>();
+              for (const auto& row : body.at("rows"))
+                gathered->items.push_back({row.at("k").get<std::string>(), row.at("v"),
+                                           row.at("stamp").get<Revision>()});
+              more = body.value("truncated", false) && !body.at("rows").empty();
+            });
+          gathered->outcome = outcome;
+          if (outcome == Outcome::ok && more && *alive)
+            return list_page(prefix, gathered->items.back().key, urgency, gathered, done);
+          done(std::move(*gathered));
+        }},
+       urgency);
+}
+
+void StoreClient::commit(const Transaction& transaction, Urgency urgency,
+                         std::function<void(TransactionResult)> done) {
+  Json conditions = Json::array();
+  for (const auto& condition : transaction.conditions)
+    conditions.push_back({{"k", condition.key}, {"stamp", condition.revision}});
+  Json writes = Json::array();
+  for (const auto& write : transaction.writes) {
+    if (!write.value) {
+      writes.push_back({{"delete", write.key}});
+      continue;
+    }
+    Json put{{"write", write.key}, {"v", *write.value}};
+    if (write.hold) put["tenure"] = *write.hold;
+    writes.push_back(std::move(put));
+  }
+  const Json body{{"if", std::move(conditions)}, {"then", std::move(writes)}};
+  send({{"POST", "/txn", body.dump()},
+        kTimeout,
+        static_cast<double>(transaction.writes.size()),
+        [done = std::move(done)](std::optional<net::Response> response) {
+          TransactionResult result;
+          result.outcome = outcome_of(response);
+          if (result.outcome == Outcome::ok || result.outcome == Outcome::conflict)
+            result.outcome = read_body(*response, [&](const Json& answer) {
+              result.revision = answer.at("ledger").get<Revision>();
+              if (answer.contains("failed"))
+                result.failed = answer.at("failed").get<std::vector<std::string>>();
+            });
+          else if (result.outcome != Outcome::unknown)
+            result.outcome = Outcome::refused;
+          done(std::move(result));
+        }},
+       urgency);
+}
+
+void StoreClient::changes(const std::string& prefix, Revision since, milliseconds block,
+                          Urgency urgency, std::function<void(ChangesResult)> done) {
+  Work work{{"GET",
+             "/changes?prefix=" + prefix + "&since=" + std::to_string(since) +
+                 "&block_ms=" + std::to_string(block.count()),
+             ""},
+            block + kTimeout,
+            0,
+            [done = std::move(done)](std::optional<net::Response> response) {
+              ChangesResult result;
+              result.outcome = outcome_of(response);
+              if (result.outcome == Outcome::ok)
+                result.outcome = read_body(*response, [&](const Json& body) {
+                  result.revision = body.at("ledger").get<Revision>();
+                  for (const auto& event : body.at("news")) {
+                    Change change;
+                    change.revision = event.at("stamp").get<Revision>();
+                    if (event.contains("write")) {
+                      change.key = event.at("write").get<std::string>();
+                      change.value = event.at("v");
+                    } else {
+                      change.key = event.at("delete").get<std::string>();
+                    }
+                    result.changes.push_back(std::move(change));
+                  }
+                });
+              done(std::move(result));
+            }};
+  if (block > milliseconds(0)) {
+    requests_.force(Clock::now());
+    return launch(std::move(work), true);
+  }
+  send(std::move(work), urgency);
+}
+
+void StoreClient::create_hold(milliseconds ttl,
+                              std::function<void(Outcome, std::uint64_t)> done) {
+  send({{"POST", "/holds", Json{{"ttl_ms", ttl.count()}}.dump()},
+        kTimeout,
+        0,
+        [done = std::move(done)](std::optional<net::Response> response) {
+          auto outcome = outcome_of(response);
+          std::uint64_t hold = 0;
+          if (outcome == Outcome::ok)
+            outcome = read_body(*response, [&](const Json& body) {
+              hold = body.at("tenure").get<std::uint64_t>();
+            });
+          done(outcome, hold);
+        }},
+       Urgency::safety);
+}
+
+void StoreClient::extend_hold(std::uint64_t hold, std::function<void(Outcome)> done) {
+  send({{"POST", "/holds/" + std::to_string(hold) + "/extend", "{}"},
+        milliseconds(1000),
+        0,
+        [done = std::move(done)](std::optional<net::Response> response) {
+          done(outcome_of(response));
+        }},
+       Urgency::safety);
+}
+
+void StoreClient::end_hold(std::uint64_t hold) {
+  send({{"DELETE", "/holds/" + std::to_string(hold), ""},
+        kTimeout,
+        0,
+        [](std::optional<net::Response>) {}},
+       Urgency::safety);
+}
+
+}  // namespace violetpulley::store
--- /dev/null
+++ b/src/store/store_client.hpp
@@ -0,0 +1,131 @@
+// The state service by its protocol. Requests are paced by this node's share of the limits; safety
+// traffic goes first and is never held back by the pace.
+#pragma once
+
+#include <deque>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <string>
+
+#include "core/rate_limiter.hpp"
+#include "core/types.hpp"
+#include "net/http_client.hpp"
+
+namespace violetpulley::store {
+
+using Json = nlohmann::json;
+using core::Revision;
+
+enum class Urgency { safety, normal };
+
+// refused: certainly not executed. unknown: may have been, or may yet be, executed.
+enum class Outcome { ok, conflict, not_found, too_old, refused, unknown };
+
+struct Item {
+  std::string key;
+  Json value;
+  Revision revision = 0;
+};
+
+struct Change {
+  std::string key;
+  std::optional<Json> value;  // empty: deleted
+  Revision revision = 0;
+};
+
+struct Condition {
+  std::string key;
+  Revision revision = 0;
+};
+
+struct Write {
+  std::string key;
+  std::optional<Json> value;  // empty: delete
+  std::optional<std::uint64_t> hold;
+};
+
+struct Transaction {
+  std::vector<Condition> conditions;
+  std::vector<Write> writes;
+};
+
+struct TransactionResult {
+  Outcome outcome = Outcome::unknown;
+  Revision revision = 0;
+  std::vector<std::string> failed;
+};
+
+struct GetResult {
+  Outcome outcome = Outcome::unknown;
+  Item item;
+};
+
+struct ListResult {
+  Outcome outcome = Outcome::unknown;
+  std::vector<Item> items;
+  Revision revision = 0;  // of the first page: later changes must be watched from here
+};
+
+struct ChangesResult {
+  Outcome outcome = Outcome::unknown;
+  std::vector<Change> changes;
+  Revision revision = 0;
+};
+
+struct StoreShare {
+  double requests_per_s = 30;
+  double writes_per_s = 8;
+};
+
+class StoreClient {
+ public:
+  StoreClient(asio::io_context& io, const asio::ip::tcp::endpoint& peer, StoreShare share,
+              std::uint64_t seed);
+  ~StoreClient();
+  StoreClient(const StoreClient&) = delete;
+  StoreClient& operator=(const StoreClient&) = delete;
+
+  void set_share(StoreShare share);
+
+  void get(const std::string& key, Urgency urgency, std::function<void(GetResult)> done);
+  void list(const std::string& prefix, Urgency urgency, std::function<void(ListResult)> done);
+  void commit(const Transaction& transaction, Urgency urgency,
+              std::function<void(TransactionResult)> done);
+  void changes(const std::string& prefix, Revision since, std::chrono::milliseconds block,
+               Urgency urgency, std::function<void(ChangesResult)> done);
+  void create_hold(std::chrono::milliseconds ttl,
+                   std::function<void(Outcome, std::uint64_t hold)> done);
+  void extend_hold(std::uint64_t hold, std::function<void(Outcome)> done);
+  void end_hold(std::uint64_t hold);
+
+  // How many requests wait for the pace: callers shed load on it.
+  std::size_t backlog() const { return queue_.size(); }
+
+ private:
+  struct Work {
+    net::Request request;
+    std::chrono::milliseconds timeout;
+    double writes;
+    net::ResponseHandler handler;
+  };
+  void send(Work work, Urgency urgency);
+  void launch(Work work, bool watching);
+  void pump();
+  void list_page(const std::string& prefix, const std::string& since, Urgency urgency,
+                 std::shared_ptr<ListResult> gathered, std::function<void(ListResult)> done);
+
+  asio::steady_timer timer_;
+  net::HttpClient client_;
+  net::HttpClient watch_client_;
+  core::RateLimiter requests_;
+  core::RateLimiter writes_;
+  std::deque<Work> queue_;
+  std::mt19937_64 random_;
+  core::TimePoint resume_at_{};
+  std::chrono::milliseconds back_off_{0};
+  bool pumping_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace violetpulley::store
