Fix a callback holding an uninitialised guard in the leader's shell

Cause: members are initialised in order of declaration, so the orders sender's callback copied alive_ before it existed; every takeover crashed.

--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -41,6 +41,8 @@
   void list_machines();
   void finish(const core::FinishJob& action);
 
+  // First: the callbacks of the members below hold it.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   asio::io_context& io_;
   const config::Settings& settings_;
   const core::Tuning& tuning_;
@@ -66,7 +68,6 @@
   core::TimePoint last_list_{};
   core::TimePoint last_summary_{};
   bool listing_ = false;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace violetpulley
