Tests: seeded simulation of the core, codecs, settings, HTTP; keep attempts in doubt

A start left unanswered was repeated, the task exited and was forgotten; the held first request then ran the same attempt anew, which no leader counted. Attempts whose start was ever unanswered are now not forgotten until the session, token or machine ends.

--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -105,7 +105,7 @@
   void absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now);
   void task_failed(Machine& machine, Job& job, TaskIndex index, TimePoint now);
   void adopt(Machine& machine, const TaskReport& entry, TimePoint now);
-  bool forgettable(const TaskReport& entry) const;
+  bool forgettable(const Machine& machine, const TaskReport& entry) const;
   std::vector<Command> commands_for(const Machine& machine, bool with_starts) const;
   void send_orders(TimePoint now);
   void stop_task(Machine& machine, Assignment& assignment, TimePoint now);
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -61,6 +61,7 @@
     return;
   if (machine.session != 0 && report.session > machine.session)
     lose_all(machine, "its lease ran out");
+  if (report.session > machine.session) machine.in_doubt.clear();
   const bool first = !machine.up();
   machine.session = report.session;
   machine.sequence = report.sequence;
@@ -195,7 +196,11 @@
   if (several && (machine.error_jobs.size() >= 2 || job.done > 0)) machine.quarantined = true;
 }
 
-bool Controller::forgettable(const TaskReport& entry) const {
+bool Controller::forgettable(const Machine& machine, const TaskReport& entry) const {
+  // Held packets may bring a start once more, and a worker that has forgotten the attempt would
+  // run it anew. So an attempt whose start was ever left unanswered stays in the worker's memory
+  // until the session, the token or the machine ends.
+  if (machine.in_doubt.contains(entry.attempt)) return false;
   if (entry.cause != ExitCause::done) return true;
   const auto found = jobs_.find(entry.task.job);
   if (found == jobs_.end() || entry.task.index >= found->second.tasks.size()) return true;
@@ -206,7 +211,7 @@
   std::vector<Command> commands;
   if (!machine.confirmed) return commands;
   for (const auto& entry : machine.reported)
-    if (entry.state == TaskState::exited && forgettable(entry))
+    if (entry.state == TaskState::exited && forgettable(machine, entry))
       commands.push_back({Verb::forget, entry.task, entry.attempt, Seconds(0)});
   for (const auto& entry : machine.reported) {
     if (entry.state == TaskState::exited) continue;
@@ -243,10 +248,14 @@
       continue;
     machine.orders_due = false;
     machine.orders_in_flight = true;
+    auto commands = commands_for(machine, true);
+    machine.starts_in_flight.clear();
+    for (const auto& command : commands)
+      if (command.verb == Verb::start) machine.starts_in_flight.push_back(command.attempt);
     // An empty list under our token confirms a machine; a wrong session is answered with a report
     // that tells the right one.
     actions_.push_back(SendOrders{id, machine.endpoint, std::max<std::uint64_t>(1, machine.session),
-                                  commands_for(machine, true)});
+                                  std::move(commands)});
   }
 }
 
@@ -255,6 +264,7 @@
   if (machine == nullptr) return;
   machine->orders_in_flight = false;
   if (answer == nullptr) {
+    machine->in_doubt.insert(machine->starts_in_flight.begin(), machine->starts_in_flight.end());
     machine->next_orders = now + kOrdersRetry;
     machine->orders_due = true;
     return;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -70,6 +70,8 @@
   int errors = 0;
   std::set<JobId> error_jobs;
 
+  std::set<Attempt> in_doubt;  // started by orders without an answer: those may arrive once more
+  std::vector<Attempt> starts_in_flight;
   bool orders_due = false;
   bool orders_in_flight = false;
   TimePoint next_orders{};
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,129 @@
+#include <gtest/gtest.h>
+
+#include "agent/agent_codec.hpp"
+#include "api/job_codec.hpp"
+#include "cloud/cloud_client.hpp"
+#include "mesh/mesh.hpp"
+
+namespace violetpulley {
+namespace {
+
+using api::Json;
+
+Json good_job() {
+  return Json::parse(R"({"id":"req-000412","lot":"train","owner":"vision","shape":"array",
+    "urgency":"high","cuts":16,"cores":8.0,"gpus":0.0,"memory_gb":64.0,"casket":"img-07",
+    "image_gb":6.2,"benches":["g8"],"district":null,"same_place":true,"spread":false,
+    "loaners":true,"expect_s":240.0,"mark_s":30.0,"stow_s":4.0,"due_s":900.0})");
+}
+
+TEST(JobCodec, KeepsWhatAUserWrote) {
+  const auto spec = api::parse_job(good_job());
+  EXPECT_EQ(spec.tasks, 16U);
+  EXPECT_EQ(spec.priority, core::Priority::high);
+  EXPECT_FALSE(spec.zone);
+  const auto again = api::parse_job(api::job_to_json(spec));
+  EXPECT_EQ(api::job_to_json(again), api::job_to_json(spec));
+}
+
+TEST(JobCodec, RefusesWhatIsMalformed) {
+  const std::pair<const char*, Json> bad[] = {
+      {"id", "412"},       {"id", "req-"},         {"id", 5},          {"id", "req-1/2"},
+      {"lot", ""},         {"owner", Json::array()}, {"shape", "ring"},  {"urgency", nullptr},
+      {"cuts", 0},         {"cuts", 100001},       {"cuts", 1.5},      {"cuts", "3"},
+      {"cores", -1},       {"cores", 1e300},       {"cores", "8"},     {"memory_gb", false},
+      {"casket", 7},       {"image_gb", -0.1},     {"benches", "g8"},  {"benches", {1}},
+      {"district", 3},     {"loaners", "yes"},     {"expect_s", nullptr}, {"due_s", -1}};
+  for (const auto& [field, value] : bad) {
+    auto job = good_job();
+    job[field] = value;
+    EXPECT_THROW(api::parse_job(job), api::BadRequest) << field << " = " << value;
+  }
+  for (const char* field : {"id", "lot", "owner", "shape", "urgency", "cuts", "cores", "memory_gb",
+                            "casket", "image_gb", "expect_s"}) {
+    auto job = good_job();
+    job.erase(field);
+    EXPECT_THROW(api::parse_job(job), api::BadRequest) << field << " missing";
+  }
+  EXPECT_THROW(api::parse_job(Json::array()), api::BadRequest);
+}
+
+TEST(JobCodec, TellsWhatCanNeverRun) {
+  core::MachineType type{"g8", {96, 8, 768}, 200, 1, 12, 4.5, core::Seconds(45), {"a"}};
+  const std::vector<core::Team> teams{{"vision", 0, 64, 0, 0}};
+  const auto check = [&](const char* field, const Json& value) {
+    auto job = good_job();
+    job["same_place"] = false;
+    if (field != nullptr) job[field] = value;
+    return api::never_runs(api::parse_job(job), teams, {type}, {"a", "b"}).has_value();
+  };
+  EXPECT_FALSE(check(nullptr, {}));
+  EXPECT_TRUE(check("owner", "nobody"));
+  EXPECT_TRUE(check("cores", 65.0));      // over the team's limit
+  EXPECT_TRUE(check("memory_gb", 769.0));
+  EXPECT_TRUE(check("benches", Json{"x1"}));
+  EXPECT_TRUE(check("district", "b"));    // the type is not there
+  EXPECT_TRUE(check("district", "c"));
+  EXPECT_TRUE(check("shape", "gang"));
+}
+
+TEST(AgentCodec, ReadsReportsAndRefusesNonsense) {
+  const std::string good = R"({"rig":"m-000231","endpoint":"10.1.0.232:9000","bench":"g8",
+    "district":"a","loaners":true,"shift":1,"tally":88,"baton":41,"recall_s":null,
+    "cuts":[{"cut":"req-000412/3","try":2,"status":"running"},
+            {"cut":"req-000398/0","try":1,"status":"exited","cause":"done"}]})";
+  const auto report = agent::parse_report(good);
+  EXPECT_EQ(report.tasks.size(), 2U);
+  EXPECT_EQ(report.tasks[0].task.index, 3U);
+  EXPECT_EQ(report.tasks[1].cause, core::ExitCause::done);
+  EXPECT_FALSE(report.notice);
+  const std::pair<const char*, Json> bad[] = {{"shift", -1},     {"tally", "x"}, {"rig", 5},
+                                              {"recall_s", "x"}, {"cuts", 3},    {"baton", 1.5}};
+  for (const auto& [field, value] : bad) {
+    auto json = Json::parse(good);
+    json[field] = value;
+    EXPECT_ANY_THROW(agent::parse_report(json.dump())) << field;
+  }
+  for (const auto* task : {"req-1", "/3", "req-1/x", "req-1/-1", "req-1/99999999999"}) {
+    auto json = Json::parse(good);
+    json["cuts"][0]["cut"] = task;
+    EXPECT_ANY_THROW(agent::parse_report(json.dump())) << task;
+  }
+  EXPECT_ANY_THROW(agent::parse_report("[]"));
+  EXPECT_ANY_THROW(agent::parse_report("{"));
+}
+
+TEST(AgentCodec, WritesCommands) {
+  const auto body = Json::parse(agent::orders_body(
+      41, 2, {{core::Verb::start, {"req-7", 3}, 9, core::Seconds(0)},
+              {core::Verb::stop, {"req-7", 4}, 8, core::Seconds(10)}}));
+  EXPECT_EQ(body, Json::parse(R"({"baton":41,"shift":2,"orders":[
+    {"verb":"start","cut":"req-7/3","try":9},
+    {"verb":"kill","cut":"req-7/4","try":8,"leeway_s":10.0}]})"));
+}
+
+TEST(MeshCodec, IsVersionedAndRefusesNonsense) {
+  mesh::Status status;
+  status.member = "a";
+  status.token = 5;
+  status.counts = {{"req-1", 2, 3}};
+  const auto frame = mesh::encode(status);
+  const auto again = mesh::decode(frame.data() + 4, frame.size() - 4);
+  EXPECT_EQ(again.counts.at(0).running, 3U);
+  EXPECT_EQ(again.token, 5U);
+  status.version = 99;
+  const auto newer = mesh::encode(status);
+  EXPECT_ANY_THROW(mesh::decode(newer.data() + 4, newer.size() - 4));
+  EXPECT_ANY_THROW(mesh::decode("garbage", 7));
+}
+
+TEST(CloudCodec, RefusesANonsenseCatalog) {
+  EXPECT_ANY_THROW(cloud::parse_catalog("{}"));
+  EXPECT_ANY_THROW(cloud::parse_catalog(R"({"benches":[]})"));
+  EXPECT_ANY_THROW(cloud::parse_catalog(
+      R"({"benches":[{"label":"a","cores":-1,"memory_gb":1,"local_gb":1,"fetch_gb_per_s":1,
+          "rate":1,"ready_s":1,"districts":["a"]}]})"));
+}
+
+}  // namespace
+}  // namespace violetpulley
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,170 @@
+// The pure parts against small worked examples from DESIGN and the paper.
+#include <gtest/gtest.h>
+
+#include "core/clearing.hpp"
+#include "core/controller.hpp"
+#include "core/leadership.hpp"
+
+namespace violetpulley::core {
+namespace {
+
+const TimePoint kNow = TimePoint{} + std::chrono::hours(1);
+
+JobSpec spec_of(double cpus, double memory, Seconds estimate, std::string image = "i") {
+  JobSpec spec;
+  spec.id = "req-1";
+  spec.team = "t";
+  spec.tasks = 1;
+  spec.per_task = {cpus, 0, memory};
+  spec.image = std::move(image);
+  spec.estimate = estimate;
+  spec.spot_allowed = true;
+  return spec;
+}
+
+Machine& machine_with(Fleet& fleet, const MachineId& id, double cpus, Seconds remaining,
+                      bool image = true) {
+  auto& machine = fleet.add(id);
+  machine.capacity = {cpus, 0, cpus * 8};
+  machine.cache_gb = 100;
+  if (image) machine.images.push_back({"i", 1, true});
+  if (remaining > Seconds(0)) {
+    Assignment assignment;
+    assignment.resources = {1, 0, 1};
+    assignment.estimate = remaining;
+    assignment.running_since = kNow;
+    fleet.assign(machine, {"req-9" + id, 0}, assignment);
+  }
+  return machine;
+}
+
+TEST(Bins, SpanPowersOfTwo) {
+  const Seconds unit{1};
+  EXPECT_EQ(bin_of(Seconds(0.9), unit), 0);
+  EXPECT_EQ(bin_of(Seconds(1), unit), 1);
+  EXPECT_EQ(bin_of(Seconds(1.99), unit), 1);
+  EXPECT_EQ(bin_of(Seconds(2), unit), 2);
+  EXPECT_EQ(bin_of(Seconds(8), unit), 4);
+  EXPECT_EQ(bin_of(Seconds(8), Seconds(4)), 2);
+}
+
+TEST(Bins, ATaskPastItsEstimateIsHalfwayDone) {
+  EXPECT_EQ(remaining_run_time(Seconds(10), Seconds(4)), Seconds(6));
+  EXPECT_EQ(remaining_run_time(Seconds(10), Seconds(25)), Seconds(25));
+}
+
+TEST(Packer, OwnBinByClosestThenGreaterThenLesserByRoom) {
+  Fleet fleet;
+  auto& far = machine_with(fleet, "far", 8, Seconds(15.5));      // bin of 10 s: [8, 16)
+  auto& near = machine_with(fleet, "near", 8, Seconds(9));       // the same bin, closer
+  auto& greater = machine_with(fleet, "greater", 8, Seconds(40));
+  auto& roomy = machine_with(fleet, "roomy", 16, Seconds(50));   // greater too, more room
+  auto& lesser = machine_with(fleet, "lesser", 32, Seconds(3));
+  const auto spec = spec_of(1, 1, Seconds(10));
+  const PackTask task{&spec, Seconds(10)};
+  Packer packer(Seconds(1), kNow);
+  for (auto* machine : {&far, &near, &greater, &roomy, &lesser}) packer.offer(*machine);
+  std::set<MachineId> barred;
+  const auto choose = [&] {
+    return packer.choose(task, [&](const Machine& m) { return !barred.contains(m.id); });
+  };
+  for (auto* expected : {&near, &far, &roomy, &greater, &lesser}) {
+    ASSERT_EQ(choose(), expected);
+    barred.insert(expected->id);
+  }
+  EXPECT_EQ(choose(), nullptr);
+}
+
+TEST(Packer, PrefersAMachineThatHoldsTheImage) {
+  Fleet fleet;
+  auto& closest = machine_with(fleet, "closest", 8, Seconds(10), false);
+  auto& holder = machine_with(fleet, "holder", 8, Seconds(40), true);
+  const auto spec = spec_of(1, 1, Seconds(10));
+  Packer packer(Seconds(1), kNow);
+  packer.offer(closest);
+  packer.offer(holder);
+  EXPECT_EQ(packer.choose({&spec, Seconds(10)}, [](const Machine&) { return true; }), &holder);
+}
+
+TEST(Scaler, ScoreIsThePapersExample) {
+  MachineType type;
+  type.capacity = {8, 0, 16};
+  EXPECT_DOUBLE_EQ(rental_score({4, 0, 1}, type, 1.0, {2, 0, 4}), 2.0);
+  EXPECT_DOUBLE_EQ(rental_score({4, 0, 1}, type, 0.5, {2, 0, 4}), 4.0);
+}
+
+TEST(Scaler, ChoosesTypeAndGroupTogether) {
+  MachineType small{"small", {8, 0, 64}, 10, 1, 1.0, 0.3, Seconds(30), {"z"}};
+  MachineType large{"large", {64, 0, 512}, 10, 1, 6.0, 2.2, Seconds(30), {"z"}};
+  const std::vector<RentalOption> options{
+      {&small, "z", true, 0.3}, {&small, "z", false, 1.0}, {&large, "z", true, 2.2}};
+  auto spec = spec_of(1, 1, Seconds(10));
+  std::vector<ScalerTask> few;
+  for (TaskIndex i = 0; i < 8; ++i) few.push_back({{"req-1", i}, &spec, Seconds(10)});
+  auto choice = choose_rental(few, options);
+  ASSERT_TRUE(choice);
+  EXPECT_EQ(choice->option.type->name, "small");
+  EXPECT_TRUE(choice->option.spot);
+  EXPECT_EQ(choice->group.size(), 8U);
+
+  // A task of 16 CPUs fits only the large type; spot is barred, so nothing is left.
+  auto big = spec_of(16, 16, Seconds(10));
+  big.spot_allowed = false;
+  EXPECT_FALSE(choose_rental({{{"req-2", 0}, &big, Seconds(10)}}, options));
+  big.spot_allowed = true;
+  choice = choose_rental({{{"req-2", 0}, &big, Seconds(10)}}, options);
+  ASSERT_TRUE(choice);
+  EXPECT_EQ(choice->option.type->name, "large");
+}
+
+TEST(Clearing, RestartsOnlyWhatLosesLessThanItSaves) {
+  Fleet fleet;
+  auto& machine = machine_with(fleet, "m", 16, Seconds(100));
+  EXPECT_TRUE(underused(machine, 0.5));
+  EXPECT_TRUE(worth_restarting(machine, kNow, Seconds(30), Seconds(20)));
+  // After 60 s, 40 s remain: less than the 60 s that would be lost.
+  EXPECT_FALSE(worth_restarting(machine, kNow + std::chrono::seconds(60), Seconds(30), Seconds(20)));
+}
+
+TEST(Leadership, ServesOnlyAsLongAsACancellationStillEndsInTime) {
+  WorkerTimes times{Seconds(3), Seconds(27), Seconds(47), Seconds(35), Seconds(4)};
+  Leadership leadership(times, std::chrono::milliseconds(25));
+  EXPECT_FALSE(leadership.may_serve(kNow));
+  leadership.won(7, 1, kNow);
+  const auto limit = leadership.serving_time();
+  EXPECT_LT(limit + times.lease, times.cancel);
+  EXPECT_TRUE(leadership.may_serve(kNow + to_duration(limit - Seconds(0.1))));
+  EXPECT_FALSE(leadership.may_serve(kNow + to_duration(limit + Seconds(0.1))));
+  leadership.proved(kNow + std::chrono::seconds(5));
+  EXPECT_TRUE(leadership.may_serve(kNow + to_duration(limit + Seconds(4))));
+  leadership.lost();
+  EXPECT_FALSE(leadership.may_serve(kNow));
+}
+
+TEST(Progress, IsKeptInRangesAndChunks) {
+  JobRecord record;
+  record.spec = spec_of(1, 1, Seconds(1));
+  record.spec.tasks = 2500;
+  Job job(record);
+  for (const TaskIndex i : {0U, 1U, 2U, 7U, 1000U}) job.set_done(i);
+  const auto first = job.progress(0);
+  EXPECT_EQ(first.done, (std::vector<IndexRange>{{0, 2}, {7, 7}}));
+  EXPECT_EQ(job.progress(1).done, (std::vector<IndexRange>{{1000, 1000}}));
+  EXPECT_TRUE(job.progress(2).done.empty());
+  EXPECT_EQ(job.waiting.size(), 2495U);
+}
+
+TEST(RateLimiter, HoldsItsRate) {
+  RateLimiter limiter(2.0, 2.0);
+  auto now = kNow;
+  EXPECT_TRUE(limiter.take(now));
+  EXPECT_TRUE(limiter.take(now));
+  EXPECT_FALSE(limiter.take(now));
+  EXPECT_GT(limiter.wait_for(now), Duration::zero());
+  now += std::chrono::milliseconds(500);
+  EXPECT_TRUE(limiter.take(now));
+  EXPECT_FALSE(limiter.take(now));
+}
+
+}  // namespace
+}  // namespace violetpulley::core
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,90 @@
+// The HTTP server on loopback: what bad clients get.
+#include <gtest/gtest.h>
+
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+
+namespace violetpulley::net {
+namespace {
+
+using asio::ip::tcp;
+
+class HttpTest : public ::testing::Test {
+ protected:
+  HttpTest()
+      : server_(io_, {asio::ip::make_address("127.0.0.1"), 0}, ServerLimits{},
+                [](Request&& request, const Responder& respond) {
+                  respond({200, request.method + " " + request.target + " " + request.body, {}});
+                }) {}
+
+  // Sends raw bytes and returns all that comes back until the server closes.
+  std::string raw(const std::string& bytes) {
+    tcp::socket socket(io_);
+    socket.connect(server_.local_endpoint());
+    asio::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    std::string received;
+    std::array<char, 1024> chunk{};
+    bool ended = false;
+    std::function<void()> read = [&] {
+      socket.async_read_some(asio::buffer(chunk), [&](const asio::error_code& e, std::size_t n) {
+        received.append(chunk.data(), n);
+        if (e)
+          ended = true;
+        else
+          read();
+      });
+    };
+    read();
+    io_.restart();
+    while (!ended) io_.run_one();
+    return received;
+  }
+
+  asio::io_context io_;
+  HttpServer server_;
+};
+
+TEST_F(HttpTest, BrokenHttpIsAnsweredAndClosed) {
+  EXPECT_EQ(raw("NONSENSE\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
+}
+
+TEST_F(HttpTest, ATooLargeBodyIsRefusedAndClosed) {
+  EXPECT_EQ(raw("POST /x HTTP/1.1\r\nContent-Length: 70000\r\n\r\n").substr(0, 12), "HTTP/1.1 413");
+}
+
+TEST_F(HttpTest, AnEndlessHeaderIsRefused) {
+  EXPECT_EQ(raw("GET / HTTP/1.1\r\nA: " + std::string(20000, 'a') + "\r\n\r\n").substr(0, 12),
+            "HTTP/1.1 400");
+}
+
+TEST_F(HttpTest, ConnectionCloseIsHonoured) {
+  const auto answer = raw("GET /y HTTP/1.1\r\nConnection: close\r\n\r\n");
+  EXPECT_NE(answer.find("GET /y"), std::string::npos);
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(HttpTest, ClientReusesAConnectionAndTimesOut) {
+  HttpClient client(io_, server_.local_endpoint(), 1);
+  int answers = 0;
+  for (int i = 0; i < 3; ++i)
+    client.request({"POST", "/z", "b"}, std::chrono::seconds(5), [&](std::optional<Response> r) {
+      ASSERT_TRUE(r);
+      EXPECT_EQ(r->body, "POST /z b");
+      ++answers;
+    });
+  io_.restart();
+  while (answers < 3) io_.run_one();
+
+  tcp::acceptor silent(io_, {asio::ip::make_address("127.0.0.1"), 0});
+  HttpClient waits(io_, silent.local_endpoint(), 1);
+  bool gave_up = false;
+  waits.request({"GET", "/", ""}, std::chrono::milliseconds(50), [&](std::optional<Response> r) {
+    EXPECT_FALSE(r);
+    gave_up = true;
+  });
+  while (!gave_up) io_.run_one();
+}
+
+}  // namespace
+}  // namespace violetpulley::net
--- /dev/null
+++ b/tests/loopback_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,92 @@
+#include <gtest/gtest.h>
+
+#include "config/settings.hpp"
+
+namespace violetpulley::config {
+namespace {
+
+const std::string kGood = R"(
+member = "n-0"
+site = "z1"
+public_addr = "127.0.0.1:8080"
+mesh_addr = "127.0.0.1:8081"
+something_new = 3
+[[siblings]]
+member = "n-1"
+site = "z2"
+peer_addr = "127.0.0.1:8082"
+[services]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[settings]
+nodes = 2
+zones = ["z1", "z2"]
+skew_ms = 25.0
+[[settings.teams]]
+name = "t"
+cpus = 5
+cpus_max = 10.0
+[settings.workers]
+report_s = 3.0
+lease_s = 27.0
+cancel_s = 47.0
+[settings.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 16.0
+txn_ops = 12
+[settings.cloud]
+rps = 10.0
+list_lag_s = 10.0
+[settings.limits]
+max_sockets = 3000
+)";
+
+std::string complaint(const std::string& from, const std::string& to) {
+  auto text = kGood;
+  const auto at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  text.replace(at, from.size(), to);
+  try {
+    parse_settings(text, "test");
+  } catch (const SettingsError& problem) {
+    return problem.what();
+  }
+  return "";
+}
+
+TEST(Settings, ReadsThePlatformsFileAndIgnoresNewFields) {
+  const auto settings = parse_settings(kGood, "test");
+  EXPECT_EQ(settings.nodes(), 2U);
+  EXPECT_EQ(settings.teams.at(0).max_cpus, 10.0);
+  EXPECT_EQ(settings.workers.cancel, core::Seconds(47));
+}
+
+TEST(Settings, NamesTheFieldThatIsWrong) {
+  const std::tuple<const char*, const char*, const char*> cases[] = {
+      {"member = \"n-0\"", "", "member"},
+      {"\"127.0.0.1:8080\"", "\"localhost\"", "public_addr"},
+      {"nodes = 2", "nodes = 3", "settings.nodes"},
+      {"lease_s = 27.0", "lease_s = \"x\"", "lease_s"},
+      {"lease_s = 27.0", "lease_s = nan", "lease_s"},
+      {"cancel_s = 47.0", "cancel_s = 20.0", "cancel_s"},
+      {"cpus_max = 10.0", "cpus_max = -1", "cpus_max"},
+      {"zones = [\"z1\", \"z2\"]", "zones = 4", "zones"},
+      {"[settings.cloud]", "[settings.other]", "settings.cloud"},
+      {"member = \"n-1\"", "member = \"n-0\"", "named twice"},
+      {"nodes = 2", "nodes = = 2", "line"}};
+  for (const auto& [from, to, word] : cases)
+    EXPECT_NE(complaint(from, to).find(word), std::string::npos) << from << " -> " << to;
+}
+
+TEST(Tuning, IsCheckedAndUnknownNamesAreRefused) {
+  EXPECT_EQ(parse_tuning("clearing_wait_s: 45").clearing_wait, core::Seconds(45));
+  EXPECT_EQ(parse_tuning("").round, core::Tuning{}.round);
+  EXPECT_THROW(parse_tuning("clearing_wiat_s: 45"), SettingsError);
+  EXPECT_THROW(parse_tuning("round_s: fast"), SettingsError);
+  EXPECT_THROW(parse_tuning("round_s: 1000"), SettingsError);
+  EXPECT_THROW(parse_tuning("[1, 2]"), SettingsError);
+}
+
+}  // namespace
+}  // namespace violetpulley::config
--- /dev/null
+++ b/tests/simulation_test.cpp
@@ -0,0 +1,566 @@
+// A seeded simulation of the core: an in-memory store, cloud, workers and users, with crashes,
+// takeovers, cut-off leaders that go on for a while, delayed and repeated commands, lost answers,
+// late writes, hangs, lease expiry, sick machines and spot notices. Every rule is checked after
+// each step.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "core/controller.hpp"
+#include "core/leadership.hpp"
+
+namespace violetpulley::core {
+namespace {
+
+using std::chrono::milliseconds;
+
+const WorkerTimes kTimes{Seconds(3), Seconds(27), Seconds(47), Seconds(35), Seconds(4)};
+constexpr milliseconds kStep{100};
+
+struct LiveTask {
+  Attempt attempt = 0;
+  TaskState state = TaskState::fetching;
+  ExitCause cause = ExitCause::none;
+  TimePoint ready{};
+  TimePoint ends{};
+};
+
+struct Worker {
+  MachineId id;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  bool gone = false;
+  bool sick = false;
+  TimePoint up_at{};
+  TimePoint hangs_until{};
+  std::uint64_t session = 1;
+  std::uint64_t sequence = 0;
+  Token token = 0;
+  TimePoint answered_sent{};
+  TimePoint next_report{};
+  std::optional<TimePoint> taken_at;
+  std::map<std::pair<TaskKey, Attempt>, LiveTask> tasks;
+  std::set<std::string> images;
+};
+
+struct StoredJob {
+  JobRecord record;
+};
+
+struct LeaderProcess {
+  std::unique_ptr<Controller> controller;
+  Leadership leadership;
+  Token token = 0;
+  bool cut = false;  // from the store, and from the workers on the far side
+  std::set<MachineId> far_side;
+};
+
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random_(seed) {
+    now_ = TimePoint{} + std::chrono::hours(1);
+    MachineType small{"small", {8, 0, 32}, 20, 0.6, 0.4, 0.1, Seconds(8), {"a", "b"}};
+    MachineType large{"large", {32, 0, 256}, 20, 0.3, 2.0, 0.6, Seconds(6), {"a"}};
+    types_ = {small, large};
+    teams_ = {{"blue", 20, 40, 0, 0}, {"red", 0, 24, 0, 0}};
+    for (int i = 0; i < 3; ++i) boot("small", i % 2 == 0 ? "a" : "b", false, now_);
+    take_over();
+  }
+
+  void run(Seconds length) {
+    const auto end = now_ + to_duration(length);
+    while (now_ < end && !::testing::Test::HasFailure()) step();
+  }
+
+  void quiet() { troubles_ = false; }
+  std::size_t open_jobs() const { return jobs_.size(); }
+  std::size_t finished_jobs() const { return done_.size(); }
+  std::size_t takeovers() const { return takeovers_; }
+  std::string state() const {
+    std::string text = leader_ ? leader_->controller->summary() : "no leader";
+    for (const auto& [id, job] : jobs_) {
+      const auto& spec = job.record.spec;
+      text += "\n" + id + " team " + spec.team + " tasks " + std::to_string(spec.tasks) + " cpus " +
+              std::to_string(spec.per_task.cpus) + (spec.spot_allowed ? " spot" : "") + " zone " +
+              spec.zone.value_or("-") + (spec.types.empty() ? "" : " type " + spec.types[0]);
+    }
+    return text;
+  }
+
+ private:
+  bool chance(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+  }
+  double between(double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random_);
+  }
+  void later(Seconds delay, std::function<void()> what) {
+    events_.emplace(now_ + to_duration(delay), std::move(what));
+  }
+  const MachineType& type(const std::string& name) const {
+    return name == "small" ? types_[0] : types_[1];
+  }
+
+  void step() {
+    now_ += kStep;
+    while (!events_.empty() && events_.begin()->first <= now_) {
+      auto what = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      what();
+    }
+    if (troubles_) trouble();
+    users();
+    for (auto& [id, worker] : workers_) live(worker);
+    for (auto* leader : {&leader_, &stale_})
+      if (leader->get() != nullptr) drive(**leader);
+    if (leader_ == nullptr && now_ >= next_takeover_) take_over();
+    check();
+  }
+
+  // --- leaders
+  void take_over() {
+    ++takeovers_;
+    ++revision_;
+    leader_token_ = revision_;
+    leader_ = std::make_unique<LeaderProcess>(
+        LeaderProcess{nullptr, Leadership(kTimes, milliseconds(25)), revision_, false, {}});
+    leader_->leadership.won(revision_, 1, now_);
+    Inheritance inheritance;
+    for (const auto& [id, record] : machine_records_) inheritance.machines.push_back(record);
+    for (const auto& [id, job] : jobs_) inheritance.jobs.push_back(job.record);
+    for (const auto& [key, record] : progress_) inheritance.progress.push_back(record);
+    ControllerSettings settings{teams_, kTimes, Tuning{}, 2.0, Seconds(10)};
+    leader_->controller = std::make_unique<Controller>(
+        settings, leader_->token, now_, leader_->leadership.older_leases_end(now_), inheritance);
+    leader_->controller->set_catalog(types_);
+  }
+
+  void lead_no_more() {
+    leader_.reset();
+    leader_token_ = 0;
+    next_takeover_ = now_ + to_duration(Seconds(between(0.1, 4)));
+  }
+
+  void drive(LeaderProcess& leader) {
+    if (!leader.cut) leader.leadership.proved(now_);
+    leader.controller->tick(now_, leader.leadership.may_serve(now_));
+    auto actions = leader.controller->take_actions();
+    const auto token = leader.token;
+    for (auto& action : actions)
+      std::visit([&](auto& a) { carry_out(leader, token, a); }, action);
+    if (resigning_ == token) {
+      resigning_ = 0;
+      if (leader_ && leader_->token == token) lead_no_more();
+    }
+  }
+
+  LeaderProcess* process(Token token) {
+    if (leader_ && leader_->token == token) return leader_.get();
+    if (stale_ && stale_->token == token) return stale_.get();
+    return nullptr;
+  }
+  bool store_takes(Token token) const { return token == leader_token_; }
+  bool reaches(const LeaderProcess& leader, const MachineId& id) const {
+    if (leader.cut) return leader.far_side.contains(id);
+    return stale_ == nullptr || !stale_->far_side.contains(id);
+  }
+
+  void carry_out(LeaderProcess& leader, Token token, SendOrders& orders) {
+    if (!reaches(leader, orders.machine) || chance(loss())) {
+      later(Seconds(2), [this, token, id = orders.machine] { orders_lost(token, id); });
+      // Held packets: the commands may still arrive, much later.
+      if (chance(0.5))
+        later(Seconds(between(2, 40)), [this, token, orders] { deliver(token, orders, false); });
+      return;
+    }
+    later(Seconds(between(0.001, 0.2)), [this, token, orders] { deliver(token, orders, true); });
+  }
+  void orders_lost(Token token, const MachineId& id) {
+    if (auto* leader = process(token)) leader->controller->orders_answered(id, nullptr, now_);
+  }
+  void deliver(Token token, const SendOrders& orders, bool answered) {
+    const auto found = workers_.find(orders.machine);
+    if (found == workers_.end() || found->second.gone || now_ < found->second.up_at)
+      return answered ? orders_lost(token, orders.machine) : void();
+    auto& worker = found->second;
+    if (now_ < worker.hangs_until) {
+      const auto rest = Seconds(worker.hangs_until - now_);
+      later(rest + Seconds(0.01), [this, token, orders] { deliver(token, orders, false); });
+      if (answered) later(Seconds(2), [this, token, id = orders.machine] { orders_lost(token, id); });
+      return;
+    }
+    if (token >= worker.token && orders.session == worker.session) {
+      worker.token = token;
+      for (const auto& command : orders.commands) execute(worker, command);
+    }
+    if (!answered) return;
+    const auto report = report_of(worker);
+    if (chance(loss())) {
+      later(Seconds(2), [this, token, id = worker.id] { orders_lost(token, id); });
+      return;
+    }
+    later(Seconds(between(0.001, 0.1)), [this, token, id = worker.id, report] {
+      if (auto* leader = process(token)) leader->controller->orders_answered(id, &report, now_);
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, SaveMachine& save) {
+    later(Seconds(between(0.01, 0.5)), [this, token, save] {
+      const bool ok = store_takes(token) && !chance(loss());
+      if (ok) machine_records_[save.record.id] = save.record;
+      if (auto* leader = process(token))
+        leader->controller->machine_saved(save.record.id, !save.record.endpoint.empty(), ok);
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, DeleteMachine& gone) {
+    later(Seconds(between(0.01, 0.5)), [this, token, gone] {
+      if (store_takes(token)) machine_records_.erase(gone.id);
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, SaveProgress& save) {
+    later(Seconds(between(0.01, 0.5)), [this, token, save] {
+      const bool ok = store_takes(token);
+      if (ok) progress_[{save.record.job, save.record.chunk}] = save.record;
+      // The answer may get lost although the write was made.
+      if (auto* leader = process(token))
+        leader->controller->progress_saved(save, ok && !chance(loss()));
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, FinishJob& finish) {
+    later(Seconds(between(0.01, 2.0)), [this, token, finish] {
+      const auto job = jobs_.find(finish.job);
+      const bool ok = store_takes(token) && job != jobs_.end() &&
+                      job->second.record.revision == finish.revision;
+      if (!ok) {
+        if (auto* leader = process(token)) leader->controller->finish_answered(finish.job, now_);
+        return;
+      }
+      // not_done: a job is reported done only after all of its tasks are.
+      for (TaskIndex i = 0; i < job->second.record.spec.tasks; ++i)
+        EXPECT_TRUE(completed_.contains({finish.job, i})) << "not_done " << finish.job << "/" << i;
+      EXPECT_FALSE(cancelled_.contains(finish.job)) << "went_back";
+      done_.insert(finish.job);
+      for (const auto chunk : finish.chunks) progress_.erase({finish.job, chunk});
+      close(finish.job);
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, DeleteProgress& gone) {
+    if (store_takes(token))
+      for (const auto chunk : gone.chunks) progress_.erase({gone.job, chunk});
+  }
+  void carry_out(LeaderProcess&, Token token, Rent& rent) {
+    later(Seconds(between(0.1, 0.6)), [this, token, rent] {
+      EXPECT_TRUE(rental_names_.insert(rent.name).second) << "a rental name was used twice";
+      RentalAnswer answer;
+      if (troubles_ && chance(0.15)) {
+        answer.kind = RentalAnswer::Kind::no_capacity;
+      } else if (workers_.size() < 14) {
+        answer.kind = RentalAnswer::Kind::rented;
+        const int count = troubles_ && chance(0.2) ? rent.count / 2 : rent.count;
+        for (int i = 0; i < std::min(count, 4); ++i) {
+          const double factor = troubles_ && chance(0.1) ? 50 : between(0.6, 1.5);
+          answer.machines.push_back(
+              boot(rent.type, rent.zone, rent.spot,
+                   now_ + to_duration(type(rent.type).boot * factor)));
+        }
+      } else {
+        answer.kind = RentalAnswer::Kind::no_capacity;
+      }
+      if (troubles_ && chance(0.05)) answer = RentalAnswer{};  // the answer was lost
+      if (auto* leader = process(token))
+        leader->controller->rental_answered(rent.name, answer, now_);
+    });
+  }
+  void carry_out(LeaderProcess& leader, Token token, Release& release) {
+    const bool ok = !leader.cut && !chance(loss() * 3);
+    later(Seconds(between(0.1, 0.5)), [this, token, release, ok] {
+      if (ok)
+        for (const auto& id : release.machines) workers_.erase(id);
+      if (auto* owner = process(token))
+        owner->controller->release_answered(release.machines, ok, now_);
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, Resign&) { resigning_ = token; }
+
+  MachineId boot(const std::string& type, const std::string& zone, bool spot, TimePoint up) {
+    char name[16];
+    std::snprintf(name, sizeof name, "m-%06d", ++machine_counter_);
+    auto& worker = workers_[name];
+    worker.id = name;
+    worker.type = type;
+    worker.zone = zone;
+    worker.spot = spot;
+    worker.up_at = up;
+    worker.answered_sent = up;
+    worker.next_report = up;
+    return name;
+  }
+
+  // --- workers
+  Resources used(const Worker& worker) const {
+    Resources total;
+    for (const auto& [key, task] : worker.tasks)
+      if (task.state != TaskState::exited) total += specs_.at(key.first.job).per_task;
+    return total;
+  }
+
+  void execute(Worker& worker, const Command& command) {
+    const std::pair key{command.task, command.attempt};
+    const auto known = worker.tasks.find(key);
+    if (command.verb == Verb::forget) {
+      if (known != worker.tasks.end() && known->second.state == TaskState::exited)
+        worker.tasks.erase(known);
+      return;
+    }
+    if (command.verb == Verb::stop) {
+      if (known != worker.tasks.end() && known->second.state != TaskState::exited)
+        exit(known->second, ExitCause::stopped);
+      return;
+    }
+    if (known != worker.tasks.end()) return;
+    const auto& spec = specs_.at(command.task.job);
+    LiveTask task;
+    task.attempt = command.attempt;
+    for (const auto& [other, live] : worker.tasks)
+      if (other.first == command.task && live.state != TaskState::exited)
+        exit(task, ExitCause::busy);
+    if (!(used(worker) + spec.per_task).fits_in(type(worker.type).capacity))
+      exit(task, ExitCause::no_room);
+    task.ready = now_ + to_duration(Seconds(worker.images.contains(spec.image) ? 0 : 2));
+    if (task.state != TaskState::exited) {
+      EXPECT_TRUE(allowed_on(spec, worker.type, worker.zone, worker.spot))
+          << "wrong_place " << command.task.job << "/" << command.task.index;
+    }
+    worker.tasks.emplace(key, task);
+  }
+
+  void exit(LiveTask& task, ExitCause cause) {
+    task.state = TaskState::exited;
+    task.cause = cause;
+  }
+
+  void live(Worker& worker) {
+    if (worker.gone || now_ < worker.up_at) return;
+    if (worker.taken_at && now_ >= *worker.taken_at) {
+      worker.gone = true;
+      worker.tasks.clear();
+      return;
+    }
+    if (now_ - worker.answered_sent > to_duration(kTimes.lease)) {
+      ++worker.session;
+      worker.tasks.clear();
+      worker.answered_sent = now_;
+      worker.next_report = now_;
+    }
+    if (now_ < worker.hangs_until) return;
+    bool changed = false;
+    for (auto& [key, task] : worker.tasks) {
+      if (task.state == TaskState::fetching && now_ >= task.ready) {
+        const auto& spec = specs_.at(key.first.job);
+        worker.images.insert(spec.image);
+        task.state = TaskState::running;
+        task.ends = now_ + to_duration(completed_.contains(key.first) ? Seconds(0)
+                                                                      : spec.estimate * between(0.5, 1.6));
+        changed = true;
+      }
+      if (task.state == TaskState::running && worker.sick) {
+        exit(task, ExitCause::error);
+        changed = true;
+      } else if (task.state == TaskState::running && now_ >= task.ends) {
+        exit(task, ExitCause::done);
+        completed_.insert(key.first);
+        changed = true;
+      }
+    }
+    if (changed) worker.next_report = std::min(worker.next_report, now_ + milliseconds(300));
+    if (now_ >= worker.next_report) {
+      worker.next_report = now_ + to_duration(Seconds(between(2.2, 3.7)));
+      send_report(worker);
+    }
+  }
+
+  WorkerReport report_of(Worker& worker) {
+    WorkerReport report{worker.id,   "10.0.0.1:1",       worker.type,  worker.zone, worker.spot,
+                        worker.session, ++worker.sequence, worker.token, {},          {}};
+    if (worker.taken_at) report.notice = Seconds(*worker.taken_at - now_);
+    for (const auto& [key, task] : worker.tasks)
+      report.tasks.push_back({key.first, key.second, task.state, task.cause});
+    return report;
+  }
+
+  void send_report(Worker& worker) {
+    const auto report = report_of(worker);
+    const auto sent = now_;
+    if (chance(loss())) {
+      // Held: it arrives late, and its answer is dropped.
+      later(Seconds(between(5, 40)), [this, report] {
+        if (leader_) leader_->controller->report(report, now_);
+      });
+      return;
+    }
+    later(Seconds(between(0.001, 0.1)), [this, report, sent, id = worker.id] {
+      auto* leader = stale_ && stale_->far_side.contains(id) ? stale_.get() : leader_.get();
+      if (leader == nullptr || !leader->leadership.may_serve(now_)) return;
+      leader->controller->report(report, now_);
+      const auto token = leader->token;
+      const auto commands = report.token > token ? std::vector<Command>{}
+                                                 : leader->controller->response_commands(id);
+      if (chance(loss())) return;
+      later(Seconds(0.02), [this, id, sent, token, commands, session = report.session] {
+        const auto found = workers_.find(id);
+        if (found == workers_.end()) return;
+        auto& worker = found->second;
+        if (worker.gone || now_ < worker.hangs_until || worker.session != session ||
+            token < worker.token)
+          return;
+        if (token > worker.token) worker.next_report = std::min(worker.next_report, now_);
+        worker.token = token;
+        worker.answered_sent = std::max(worker.answered_sent, sent);
+        for (const auto& command : commands) execute(worker, command);
+      });
+    });
+  }
+
+  // --- users
+  void users() {
+    if (chance(submitting_ ? 0.025 : 0)) {
+      JobSpec spec;
+      spec.id = "req-" + std::to_string(++job_counter_);
+      spec.job_class = "c" + std::to_string(job_counter_ % 3);
+      spec.team = chance(0.5) ? "blue" : "red";
+      spec.priority = chance(0.3) ? Priority::high : Priority::normal;
+      spec.tasks = static_cast<TaskIndex>(between(1, 9));
+      spec.per_task = chance(0.06) ? Resources{16, 0, 16} : Resources{chance(0.5) ? 1.0 : 4.0, 0, 2};
+      spec.image = "i" + std::to_string(job_counter_ % 4);
+      spec.image_gb = 1;
+      spec.spot_allowed = chance(0.7);
+      if (spec.per_task.cpus < 16 && chance(0.3)) spec.zone = chance(0.5) ? "a" : "b";
+      if (chance(0.2)) spec.types = {spec.per_task.cpus > 8 || chance(0.3) ? "large" : "small"};
+      if (!spec.types.empty() && spec.types[0] == "large") spec.zone.reset();
+      spec.estimate = Seconds(between(2, 30));
+      specs_[spec.id] = spec;
+      JobRecord record{spec, WallTime(std::chrono::duration_cast<milliseconds>(
+                                 now_.time_since_epoch())),
+                       ++revision_};
+      jobs_[spec.id] = {record};
+      // The leader hears of it a little later, and only while it verifiably leads.
+      later(Seconds(between(0.01, 0.3)), [this, record] {
+        if (leader_ && jobs_.contains(record.spec.id))
+          leader_->controller->job_opened(record, now_);
+      });
+    }
+    if (chance(0.003) && !jobs_.empty()) {
+      auto victim = jobs_.begin();
+      std::advance(victim, static_cast<long>(between(0, static_cast<double>(jobs_.size()) - 0.01)));
+      const auto id = victim->first;
+      cancelled_[id] = now_;
+      close(id);
+    }
+  }
+
+  void close(const JobId& id) {
+    jobs_.erase(id);
+    ++revision_;
+    later(Seconds(between(0.01, 0.3)), [this, id] {
+      if (leader_) leader_->controller->job_closed(id, now_);
+    });
+  }
+
+  // --- troubles
+  double loss() const { return troubles_ ? 0.03 : 0.0; }
+
+  void trouble() {
+    if (leader_ && chance(0.0015)) lead_no_more();  // crash
+    if (leader_ && !stale_ && chance(0.0008)) {
+      // Cut off from the store with some of the workers; it goes on for as long as it may.
+      stale_ = std::move(leader_);
+      stale_->cut = true;
+      for (const auto& [id, worker] : workers_)
+        if (chance(0.5)) stale_->far_side.insert(id);
+      lead_no_more();
+      later(Seconds(between(5, 45)), [this] { stale_.reset(); });
+    }
+    for (auto& [id, worker] : workers_) {
+      if (chance(0.0002)) worker.hangs_until = now_ + to_duration(Seconds(between(1, 40)));
+      if (chance(0.0001)) worker.gone = true, worker.tasks.clear();
+      if (chance(0.0001)) worker.sick = true;
+      if (worker.spot && !worker.taken_at && chance(0.0003))
+        worker.taken_at = now_ + to_duration(Seconds(between(4, 12)));
+    }
+    if (workers_.empty() || (!leader_ && workers_.size() < 2)) boot("small", "a", true, now_);
+  }
+
+  // --- the rules
+  void check() {
+    std::map<TaskKey, MachineId> live;
+    std::map<std::string, double> team_cpus;
+    for (const auto& [id, worker] : workers_) {
+      if (worker.gone) continue;
+      for (const auto& [key, task] : worker.tasks) {
+        if (task.state == TaskState::exited) continue;
+        const auto& spec = specs_.at(key.first.job);
+        const auto [other, only] = live.emplace(key.first, id);
+        ASSERT_TRUE(only) << "ran_twice " << key.first.job << "/" << key.first.index << " on "
+                          << other->second << " and " << id;
+        team_cpus[spec.team] += spec.per_task.cpus;
+        const auto cancelled = cancelled_.find(key.first.job);
+        if (cancelled != cancelled_.end() && now_ >= worker.hangs_until) {
+          ASSERT_LE(Seconds(now_ - cancelled->second), kTimes.cancel + Seconds(0.2))
+              << "ran_cancelled " << key.first.job;
+        }
+      }
+    }
+    for (const auto& team : teams_)
+      ASSERT_LE(team_cpus[team.name], team.max_cpus + 1e-6) << "quota " << team.name;
+  }
+
+ public:
+  void stop_submitting() { submitting_ = false; }
+
+ private:
+  std::mt19937_64 random_;
+  TimePoint now_{};
+  std::multimap<TimePoint, std::function<void()>> events_;
+  bool troubles_ = true;
+  bool submitting_ = true;
+  std::vector<MachineType> types_;
+  std::vector<Team> teams_;
+  std::map<MachineId, Worker> workers_;
+  int machine_counter_ = 0;
+  int job_counter_ = 0;
+  std::unique_ptr<LeaderProcess> leader_;
+  std::unique_ptr<LeaderProcess> stale_;
+  TimePoint next_takeover_{};
+  Token resigning_ = 0;
+  std::size_t takeovers_ = 0;
+
+  Revision revision_ = 0;
+  Token leader_token_ = 0;
+  std::map<JobId, StoredJob> jobs_;
+  std::map<JobId, JobSpec> specs_;
+  std::map<MachineId, MachineRecord> machine_records_;
+  std::map<std::pair<JobId, TaskIndex>, ProgressRecord> progress_;
+  std::set<TaskKey> completed_;
+  std::set<JobId> done_;
+  std::map<JobId, TimePoint> cancelled_;
+  std::set<std::string> rental_names_;
+};
+
+class Simulation : public ::testing::TestWithParam<int> {};
+
+TEST_P(Simulation, KeepsEveryRuleAndFinishes) {
+  const auto seed = static_cast<std::uint64_t>(GetParam());
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  World world(seed);
+  world.run(Seconds(400));
+  world.quiet();
+  world.stop_submitting();
+  world.run(Seconds(600));
+  EXPECT_GT(world.finished_jobs(), 20U);
+  EXPECT_EQ(world.open_jobs(), 0U) << "accepted jobs must run: " << world.state();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Simulation, ::testing::Range(1, 25));
+
+}  // namespace
+}  // namespace violetpulley::core
