--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -1,6 +1,7 @@
 #include "core/controller.hpp"
 
 #include <algorithm>
+#include <sstream>
 
 namespace violetpulley::core {
 
@@ -214,26 +215,29 @@
     waiting += job.waiting.size();
     for (const auto index : job.waiting) bound += job.tasks[index].bound.empty() ? 0 : 1;
   }
-  std::size_t up = 0;
-  std::size_t booting = 0;
-  std::size_t tasks = 0;
+  struct TypeUse {
+    std::size_t up = 0;
+    std::size_t booting = 0;
+    double used = 0;
+    double capacity = 0;
+  };
+  std::map<std::string, TypeUse> types;
   std::size_t clearing = 0;
-  Resources used;
-  Resources capacity;
   for (const auto& [id, machine] : fleet_.all()) {
-    ++(machine.up() ? up : booting);
-    tasks += machine.tasks.size();
+    auto& use = types[machine.type + (machine.spot ? " spot" : "")];
+    ++(machine.up() ? use.up : use.booting);
+    use.used += machine.used.cpus;
+    if (machine.up()) use.capacity += machine.capacity.cpus;
     if (machine.clearing) ++clearing;
-    used += machine.used;
-    if (machine.up()) capacity += machine.capacity;
   }
-  return "jobs=" + std::to_string(jobs_.size()) + " waiting=" + std::to_string(waiting) +
-         " bound=" + std::to_string(bound) + " tasks=" + std::to_string(tasks) +
-         " machines=" + std::to_string(up) + "+" + std::to_string(booting) +
-         " clearing=" + std::to_string(clearing) + " cpus=" +
-         std::to_string(static_cast<int>(used.cpus)) + "/" +
-         std::to_string(static_cast<int>(capacity.cpus)) +
-         (recovering_ ? " recovering" : "");
+  std::ostringstream text;
+  text << "jobs=" << jobs_.size() << " waiting=" << waiting << " bound=" << bound
+       << " clearing=" << clearing;
+  for (const auto& [name, use] : types)
+    text << " [" << name << " " << use.up << "+" << use.booting << " cpus " << use.used << "/"
+         << use.capacity << "]";
+  if (recovering_) text << " recovering";
+  return text.str();
 }
 
 }  // namespace violetpulley::core
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -123,6 +123,8 @@
   bool start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now);
   void scale(std::vector<ScalerTask> leftovers, TimePoint now);
   std::vector<RentalOption> rental_options(TimePoint now) const;
+  void note_narrow_types(TimePoint now);
+  bool reserved_for_others(const JobSpec& spec, const std::string& type) const;
   void unbind(const std::vector<TaskKey>& group, const std::string& bound);
   void clear_machines(TimePoint now);
 
@@ -145,6 +147,7 @@
   std::map<std::string, Rental> rentals_;
   std::map<MachineId, std::vector<TaskKey>> bound_groups_;
   std::map<OptionKey, TimePoint> resting_;
+  std::map<std::string, TimePoint> narrow_types_;  // types that some tasks cannot do without
   std::map<MachineId, TimePoint> released_;
   RateLimiter rental_rate_;
 
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kMostLeftovers = 1500;
+constexpr std::chrono::minutes kNarrowRemembered{5};
+constexpr std::chrono::seconds kReservationPatience{20};
 
 Seconds fetch_time(const JobSpec& spec, double gb_per_s) {
   return gb_per_s > 0 ? Seconds(spec.image_gb / gb_per_s) : Seconds(0);
@@ -74,9 +76,33 @@
   return true;
 }
 
+// Exception to the design: types that some jobs' tasks cannot do without are left to those by tasks
+// that fit another type (docs/design.md, "Scarce types").
+void Controller::note_narrow_types(TimePoint now) {
+  for (const auto& [id, job] : jobs_) {
+    std::vector<const std::string*> fitting;
+    for (const auto& [name, type] : types_)
+      if (job.spec().per_task.fits_in(type.capacity)) fitting.push_back(&name);
+    if (fitting.empty() || fitting.size() == types_.size()) continue;
+    for (const auto* name : fitting) narrow_types_[*name] = now;
+  }
+  std::erase_if(narrow_types_,
+                [&](const auto& entry) { return now - entry.second > kNarrowRemembered; });
+}
+
+bool Controller::reserved_for_others(const JobSpec& spec, const std::string& type) const {
+  if (!narrow_types_.contains(type)) return false;
+  return std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
+    return !narrow_types_.contains(entry.first) && spec.per_task.fits_in(entry.second.capacity) &&
+           (spec.types.empty() || std::find(spec.types.begin(), spec.types.end(), entry.first) !=
+                                      spec.types.end());
+  });
+}
+
 void Controller::place(TimePoint now) {
   if (types_.empty()) return;
   uncertain_ = uncertain_use();
+  note_narrow_types(now);
   struct Candidate {
     Job* job;
     Seconds estimate;
@@ -138,6 +164,11 @@
     bound = bound_groups_.erase(bound);
   }
 
+  const bool narrow_waits = std::any_of(by_age.begin(), by_age.end(), [&](const Job* job) {
+    return std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
+      return !job->spec().per_task.fits_in(entry.second.capacity);
+    });
+  });
   std::vector<ScalerTask> leftovers;
   for (const auto& candidate : queue) {
     auto& job = *candidate.job;
@@ -151,8 +182,10 @@
       Machine* machine = nullptr;
       if (room) {
         const PackTask wanted{&spec, candidate.estimate};
+        const bool patient = narrow_waits || now - job.opened < kReservationPatience;
         machine = packer.choose(wanted, [&](const Machine& m) {
-          return allowed_on(spec, m.type, m.zone, m.spot) && !job.failed_on.contains(m.id);
+          return allowed_on(spec, m.type, m.zone, m.spot) && !job.failed_on.contains(m.id) &&
+                 !(patient && reserved_for_others(spec, m.type));
         });
         room = machine != nullptr;
       }
@@ -202,10 +235,13 @@
     return a.estimate > b.estimate;
   });
   const auto options = rental_options(now);
+  const auto may_rent = [&](const JobSpec& spec, const RentalOption& option) {
+    return !reserved_for_others(spec, option.type->name);
+  };
   std::map<OptionKey, std::vector<std::vector<TaskKey>>> chosen;
   std::map<OptionKey, double> scores;
   while (!leftovers.empty()) {
-    const auto choice = choose_rental(leftovers, options);
+    const auto choice = choose_rental(leftovers, options, may_rent);
     if (!choice) break;
     const OptionKey option{choice->option.type->name, choice->option.zone, choice->option.spot};
     std::vector<TaskKey> group;
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -38,7 +38,8 @@
 }
 
 std::optional<RentalChoice> choose_rental(const std::vector<ScalerTask>& leftovers,
-                                          const std::vector<RentalOption>& options) {
+                                          const std::vector<RentalOption>& options,
+                                          const MayRent& may_rent) {
   Resources smallest{1e18, 1e18, 1e18};
   for (const auto& option : options) {
     const auto& capacity = option.type->capacity;
@@ -55,7 +56,7 @@
     for (std::size_t i = 0; i < leftovers.size(); ++i) {
       const auto& spec = *leftovers[i].spec;
       if (!allowed_on(spec, option.type->name, option.zone, option.spot)) continue;
-      if (!spec.per_task.fits_in(option.type->capacity)) continue;
+      if (!spec.per_task.fits_in(option.type->capacity) || !may_rent(spec, option)) continue;
       const auto grown = used + spec.per_task;
       if (!grown.fits_in(option.type->capacity)) break;
       used = grown;
--- a/src/core/scaler.hpp
+++ b/src/core/scaler.hpp
@@ -33,8 +33,12 @@
 double rental_score(const Resources& used, const MachineType& type, double price,
                     const Resources& smallest);
 
+// Further reasons not to rent an option for a task.
+using MayRent = std::function<bool(const JobSpec&, const RentalOption&)>;
+
 // The best pair of group and option, or none. `leftovers` are sorted by falling estimate.
-std::optional<RentalChoice> choose_rental(const std::vector<ScalerTask>& leftovers,
-                                          const std::vector<RentalOption>& options);
+std::optional<RentalChoice> choose_rental(
+    const std::vector<ScalerTask>& leftovers, const std::vector<RentalOption>& options,
+    const MayRent& may_rent = [](const JobSpec&, const RentalOption&) { return true; });
 
 }  // namespace violetpulley::core
