--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -12,12 +12,20 @@
 
 namespace violetpulley::core {
 
+// The operators' aim for a class of jobs: done within this time after submission.
+struct FinishAim {
+  std::string job_class;
+  Seconds within{0};
+};
+
 struct ControllerSettings {
   std::vector<Team> teams;
   WorkerTimes workers;
   Tuning tuning;
   double rentals_per_s = 1;
   Seconds list_lag{10};
+  std::vector<FinishAim> aims;
+  WallTime wall_at_start{};  // the time of day that belongs to the start's steady time
 };
 
 struct JobCounts {
@@ -123,6 +131,8 @@
   bool start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now);
   void scale(std::vector<ScalerTask> leftovers, TimePoint now);
   std::vector<RentalOption> rental_options(TimePoint now) const;
+  Seconds age(const Job& job, TimePoint now) const;
+  Seconds time_left(const Job& job, TimePoint now) const;
   void note_narrow_types(TimePoint now);
   bool reserved_for_others(const JobSpec& spec, const std::string& type) const;
   void unbind(const std::vector<TaskKey>& group, const std::string& bound);
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
-#include <cassert>
+#include <cmath>
+#include <limits>
 
 #include "core/clearing.hpp"
 #include "core/controller.hpp"
@@ -76,6 +77,26 @@
   return true;
 }
 
+Seconds Controller::age(const Job& job, TimePoint now) const {
+  const Seconds before = settings_.wall_at_start - job.record.submitted;
+  return std::max(Seconds(0), before + Seconds(now - takeover_));
+}
+
+// Until the job's deadline or the next aim of its class that it can still meet; infinite if none.
+Seconds Controller::time_left(const Job& job, TimePoint now) const {
+  const auto lived = age(job, now);
+  const auto& spec = job.spec();
+  Seconds best{std::numeric_limits<double>::infinity()};
+  const auto needed = estimator_.estimate(spec);
+  const auto consider = [&](Seconds within) {
+    if (lived + needed < within) best = std::min(best, within - lived);
+  };
+  if (spec.deadline) consider(*spec.deadline);
+  for (const auto& aim : settings_.aims)
+    if (aim.job_class == spec.job_class) consider(aim.within);
+  return best;
+}
+
 // Exception to the design: types that some jobs' tasks cannot do without are left to those by tasks
 // that fit another type (docs/design.md, "Scarce types").
 void Controller::note_narrow_types(TimePoint now) {
@@ -107,6 +128,8 @@
     Job* job;
     Seconds estimate;
     bool guaranteed;
+    bool hopeless;  // no deadline or aim is left to meet
+    double work;    // of its waiting tasks
   };
   std::vector<Candidate> queue;
   std::vector<Job*> by_age;
@@ -127,7 +150,11 @@
     claim += spec.per_task.cpus * static_cast<double>(job->waiting.size());
     const bool guaranteed =
         team != teams_.end() && claim <= team->second.guaranteed_cpus + Resources::kSlack;
-    queue.push_back({job, estimator_.estimate(spec), guaranteed});
+    const auto estimate = estimator_.estimate(spec);
+    const bool hopeless = !std::isfinite(time_left(*job, now).count());
+    queue.push_back({job, estimate, guaranteed, hopeless,
+                     estimate.count() * spec.per_task.cpus *
+                         static_cast<double>(job->waiting.size())});
   }
   // The design's order is longest first. Before it come priority, for the deadlines, and work
   // within a team's guarantee (docs/design.md, "Order of the queue").
@@ -136,7 +163,8 @@
     const auto& y = b.job->spec();
     if (x.priority != y.priority) return x.priority > y.priority;
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
-    return a.estimate > b.estimate;
+    if (a.hopeless != b.hopeless) return b.hopeless;
+    return a.work < b.work;
   });
 
   Packer packer(settings_.tuning.bin_unit, now);
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -142,7 +142,13 @@
 void Leader::take_over() {
   core::ControllerSettings controller{settings_.teams, settings_.workers, tuning_,
                                       settings_.cloud_requests_per_s * 0.4,
-                                      settings_.cloud_list_lag};
+                                      settings_.cloud_list_lag,
+                                      {},
+                                      std::chrono::time_point_cast<milliseconds>(
+                                          std::chrono::system_clock::now())};
+  for (const auto& objective : settings_.objectives)
+    if (objective.kind == "finished")
+      controller.aims.push_back({objective.job_class, objective.within});
   const auto now = Clock::now();
   spdlog::info("takeover: {} jobs, {} machines, {} progress records", inheritance_.jobs.size(),
                inheritance_.machines.size(), inheritance_.progress.size());
