Place on dear machines last among those that hold the image

Cause: the ordinary machines that are up at the start cost nearly three times a spot machine and stayed busy at partial load.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -223,16 +223,19 @@
   };
   std::map<std::string, TypeUse> types;
   std::size_t clearing = 0;
+  std::size_t running = 0;
+  std::size_t fetching = 0;
   for (const auto& [id, machine] : fleet_.all()) {
     auto& use = types[machine.type + (machine.spot ? " spot" : "")];
     ++(machine.up() ? use.up : use.booting);
     use.used += machine.used.cpus;
     if (machine.up()) use.capacity += machine.capacity.cpus;
     if (machine.clearing) ++clearing;
+    for (const auto& [key, task] : machine.tasks) ++(task.running_since ? running : fetching);
   }
   std::ostringstream text;
   text << "jobs=" << jobs_.size() << " waiting=" << waiting << " bound=" << bound
-       << " clearing=" << clearing;
+       << " running=" << running << " fetching=" << fetching << " clearing=" << clearing;
   for (const auto& [name, use] : types)
     text << " [" << name << " " << use.up << "+" << use.booting << " cpus " << use.used << "/"
          << use.capacity << "]";
--- a/src/core/packer.cpp
+++ b/src/core/packer.cpp
@@ -5,6 +5,10 @@
 
 namespace violetpulley::core {
 
+namespace {
+constexpr double kDearFactor = 1.8;
+}  // namespace
+
 double free_room(const Machine& machine) {
   const auto free = machine.free();
   return free.cpus + free.memory_gb * 0.01;
@@ -18,6 +22,8 @@
 void Packer::offer(Machine& machine) {
   const auto remaining = machine.remaining(now_);
   offers_.push_back({&machine, remaining, bin_of(remaining, unit_)});
+  if (machine.capacity.cpus > 0 && machine.price > 0)
+    cheapest_per_cpu_ = std::min(cheapest_per_cpu_, machine.price / machine.capacity.cpus);
 }
 
 void Packer::placed(Machine& machine) {
@@ -28,6 +34,11 @@
     }
 }
 
+bool Packer::dear_per_cpu(const Machine& machine) const {
+  return machine.capacity.cpus > 0 &&
+         machine.price / machine.capacity.cpus > kDearFactor * cheapest_per_cpu_;
+}
+
 Machine* Packer::choose(const PackTask& task,
                         const std::function<bool(const Machine&)>& may_use) {
   // Exception to the design: machines that hold the image come before those that must fetch it,
@@ -54,6 +65,13 @@
     }
     const int order = bin_order(offer.bin);
     const int best_order = bin_order(best->bin);
+    // Exception to the design: dear machines come after all cheaper ones, so that they run empty
+    // and are returned first (docs/design.md, "Dear machines last").
+    const bool dear = dear_per_cpu(machine);
+    if (dear != dear_per_cpu(*best->machine)) {
+      if (!dear) best = &offer;
+      continue;
+    }
     if (order != best_order) {
       if (order < best_order) best = &offer;
       continue;
--- a/src/core/packer.hpp
+++ b/src/core/packer.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 
 #include "core/fleet.hpp"
 
@@ -35,8 +36,11 @@
   Machine* choose_among(const PackTask& task, const std::function<bool(const Machine&)>& may_use,
                         int image_rank);
 
+  bool dear_per_cpu(const Machine& machine) const;
+
   Seconds unit_;
   TimePoint now_;
+  double cheapest_per_cpu_ = std::numeric_limits<double>::infinity();
   std::vector<Offer> offers_;
 };
 
