--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -131,6 +131,7 @@
   bool start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now);
   void scale(std::vector<ScalerTask> leftovers, TimePoint now);
   std::vector<RentalOption> rental_options(TimePoint now) const;
+  Seconds longest_fetch(const JobSpec& spec) const;
   Seconds age(const Job& job, TimePoint now) const;
   Seconds time_left(const Job& job, TimePoint now) const;
   void note_narrow_types(TimePoint now);
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -77,6 +77,14 @@
   return true;
 }
 
+Seconds Controller::longest_fetch(const JobSpec& spec) const {
+  Seconds longest{0};
+  for (const auto& [name, type] : types_)
+    if (spec.per_task.fits_in(type.capacity))
+      longest = std::max(longest, fetch_time(spec, type.fetch_gb_per_s));
+  return longest;
+}
+
 Seconds Controller::age(const Job& job, TimePoint now) const {
   const Seconds before = settings_.wall_at_start - job.record.submitted;
   return std::max(Seconds(0), before + Seconds(now - takeover_));
@@ -197,37 +205,37 @@
       return !job->spec().per_task.fits_in(entry.second.capacity);
     });
   });
+  // Two passes: room first goes to tasks whose image is there, whatever their place in the queue,
+  // unless a task has waited for as long as its fetch takes; then to the others.
   std::vector<ScalerTask> leftovers;
-  for (const auto& candidate : queue) {
-    auto& job = *candidate.job;
-    const auto& spec = job.spec();
-    const std::vector<TaskIndex> waiting(job.waiting.begin(), job.waiting.end());
-    bool room = true;
-    for (const auto index : waiting) {
-      auto& task = job.tasks[index];
-      if (!within_limit(spec)) break;
-      if (!task.bound.empty() && !settings_.tuning.bound_tasks_may_move) continue;
-      Machine* machine = nullptr;
-      if (room) {
-        const PackTask wanted{&spec, candidate.estimate};
-        const bool patient = narrow_waits || now - job.opened < kReservationPatience;
-        machine = packer.choose(wanted, [&](const Machine& m) {
-          return allowed_on(spec, m.type, m.zone, m.spot) && !job.failed_on.contains(m.id) &&
-                 !(patient && reserved_for_others(spec, m.type));
-        });
-        room = machine != nullptr;
-      }
-      if (machine != nullptr && start_task(job, index, *machine, now)) {
-        packer.placed(*machine);
-        continue;
+  for (const bool holders_only : {true, false})
+    for (const auto& candidate : queue) {
+      auto& job = *candidate.job;
+      const auto& spec = job.spec();
+      const bool patient = narrow_waits || now - job.opened < kReservationPatience;
+      const auto may_use = [&](const Machine& m) {
+        return allowed_on(spec, m.type, m.zone, m.spot) && !job.failed_on.contains(m.id) &&
+               !(patient && reserved_for_others(spec, m.type));
+      };
+      const bool waited = now - job.opened > to_duration(longest_fetch(spec) * 0.3);
+      const int least_rank = holders_only && !waited ? 1 : 0;
+      const PackTask wanted{&spec, candidate.estimate};
+      const std::vector<TaskIndex> waiting(job.waiting.begin(), job.waiting.end());
+      bool room = true;
+      for (const auto index : waiting) {
+        auto& task = job.tasks[index];
+        if (!within_limit(spec)) break;
+        if (!task.bound.empty() && !settings_.tuning.bound_tasks_may_move) continue;
+        auto* machine = room ? packer.choose(wanted, may_use, least_rank) : nullptr;
+        if (machine != nullptr && start_task(job, index, *machine, now)) {
+          packer.placed(*machine);
+          continue;
+        }
+        room = false;
+        if (holders_only || leftovers.size() >= kMostLeftovers) break;
+        if (task.bound.empty()) leftovers.push_back({{spec.id, index}, &spec, candidate.estimate});
       }
-      room = false;
-      if (task.bound.empty() && leftovers.size() < kMostLeftovers)
-        leftovers.push_back({{spec.id, index}, &spec, candidate.estimate});
-      else if (task.bound.empty())
-        break;
     }
-  }
   const bool scale_due = now - last_scale_ >= to_duration(settings_.tuning.round);
   if (!leftovers.empty() && scale_due) {
     last_scale_ = now;
--- a/src/core/packer.cpp
+++ b/src/core/packer.cpp
@@ -40,10 +40,10 @@
 }
 
 Machine* Packer::choose(const PackTask& task,
-                        const std::function<bool(const Machine&)>& may_use) {
+                        const std::function<bool(const Machine&)>& may_use, int least_rank) {
   // Exception to the design: machines that hold the image come before those that must fetch it,
   // since a fetch takes as long as much of the work (docs/design.md, "Images").
-  for (int rank = 2; rank >= 0; --rank)
+  for (int rank = 2; rank >= least_rank; --rank)
     if (auto* machine = choose_among(task, may_use, rank)) return machine;
   return nullptr;
 }
--- a/src/core/packer.hpp
+++ b/src/core/packer.hpp
@@ -22,7 +22,9 @@
   void offer(Machine& machine);
 
   // The machine for the task, or none. `may_use` filters by place, kind and reservations.
-  Machine* choose(const PackTask& task, const std::function<bool(const Machine&)>& may_use);
+  // `least_rank`: how much of the image the machine must hold at least (see image_rank).
+  Machine* choose(const PackTask& task, const std::function<bool(const Machine&)>& may_use,
+                  int least_rank = 0);
 
   // Tells that the task was placed, so that the machine's bin follows.
   void placed(Machine& machine);
