--- a/src/agent/agent_codec.cpp
+++ b/src/agent/agent_codec.cpp
@@ -45,7 +45,8 @@
 }
 
 std::uint64_t integer(const Json& value, const char* name) {
-  if (!value.is_number_unsigned()) throw std::invalid_argument(std::string(name) + " must be a count");
+  if (!value.is_number_unsigned())
+    throw std::invalid_argument(std::string(name) + " must be a count");
   return value.get<std::uint64_t>();
 }
 
@@ -61,12 +62,16 @@
     Json item{{"cut", command.task.job + "/" + std::to_string(command.task.index)},
               {"try", command.attempt}};
     switch (command.verb) {
-      case Verb::start: item["verb"] = "start"; break;
+      case Verb::start:
+        item["verb"] = "start";
+        break;
       case Verb::stop:
         item["verb"] = "kill";
         item["leeway_s"] = command.grace.count();
         break;
-      case Verb::forget: item["verb"] = "reap"; break;
+      case Verb::forget:
+        item["verb"] = "reap";
+        break;
     }
     out.push_back(std::move(item));
   }
--- a/src/agent/orders_sender.cpp
+++ b/src/agent/orders_sender.cpp
@@ -28,21 +28,20 @@
   }
   auto commands = orders.commands;
   if (commands.size() > kMostCommands) commands.resize(kMostCommands);
-  line.client->request(
-      {"POST", "/orders", orders_body(token_, orders.session, commands)}, kTimeout,
-      [this, id = orders.machine](std::optional<net::Response> response) {
-        if (!response || (response->status != 200 && response->status != 409)) {
-          spdlog::debug("machine {}: orders not answered", id);
-          return answered_(id, nullptr);
-        }
-        try {
-          const auto report = parse_report(response->body);
-          answered_(id, &report);
-        } catch (const std::exception& problem) {
-          spdlog::warn("machine {} answered nonsense: {}", id, problem.what());
-          answered_(id, nullptr);
-        }
-      });
+  line.client->request({"POST", "/orders", orders_body(token_, orders.session, commands)}, kTimeout,
+                       [this, id = orders.machine](std::optional<net::Response> response) {
+                         if (!response || (response->status != 200 && response->status != 409)) {
+                           spdlog::debug("machine {}: orders not answered", id);
+                           return answered_(id, nullptr);
+                         }
+                         try {
+                           const auto report = parse_report(response->body);
+                           answered_(id, &report);
+                         } catch (const std::exception& problem) {
+                           spdlog::warn("machine {} answered nonsense: {}", id, problem.what());
+                           answered_(id, nullptr);
+                         }
+                       });
 }
 
 void OrdersSender::drop(const core::MachineId& machine) { lines_.erase(machine); }
--- a/src/api/job_codec.cpp
+++ b/src/api/job_codec.cpp
@@ -109,7 +109,8 @@
   spec.spread = flag(body, "spread");
   spec.spot_allowed = flag(body, "loaners");
   spec.estimate = Seconds(amount(field(body, "expect_s"), "expect_s", 0));
-  if (!absent(body, "mark_s")) spec.checkpoint_every = Seconds(amount(body.at("mark_s"), "mark_s", 0));
+  if (!absent(body, "mark_s"))
+    spec.checkpoint_every = Seconds(amount(body.at("mark_s"), "mark_s", 0));
   if (!absent(body, "stow_s")) spec.save_time = Seconds(amount(body.at("stow_s"), "stow_s", 0));
   if (!absent(body, "due_s")) spec.deadline = Seconds(amount(body.at("due_s"), "due_s", 0));
   return spec;
--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -105,8 +105,8 @@
   if (ended_.contains(id) || mirror_.find(id) != nullptr)
     return refuse_unless_known(id, 400, "", respond);
   if (store_.backlog() > kMostBacklog)
-    return respond(unavailable("too many requests wait for the state service",
-                               std::chrono::seconds(2)));
+    return respond(
+        unavailable("too many requests wait for the state service", std::chrono::seconds(2)));
   core::JobSpec spec;
   try {
     spec = parse_job(body);
@@ -122,14 +122,12 @@
 }
 
 void UserApi::accept(core::JobSpec spec, const net::Responder& respond) {
-  core::JobRecord record{std::move(spec),
-                         std::chrono::time_point_cast<std::chrono::milliseconds>(
-                             std::chrono::system_clock::now()),
-                         0};
+  core::JobRecord record{
+      std::move(spec),
+      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()), 0};
   const auto& id = record.spec.id;
-  store::Transaction transaction{
-      {{store::kJobPrefix + id, 0}, {store::kEndPrefix + id, 0}},
-      {{store::kJobPrefix + id, record_to_json(record), std::nullopt}}};
+  store::Transaction transaction{{{store::kJobPrefix + id, 0}, {store::kEndPrefix + id, 0}},
+                                 {{store::kJobPrefix + id, record_to_json(record), std::nullopt}}};
   store_.commit(transaction, Urgency::normal,
                 [this, record, respond, alive = alive_](store::TransactionResult result) mutable {
                   if (!*alive) return;
--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -81,8 +81,8 @@
     auto work = std::move(queue_.front());
     queue_.pop_front();
     client_.request(std::move(work.request), kTimeout,
-                    [this, alive = alive_, done = std::move(work.handler)](
-                        std::optional<net::Response> response) {
+                    [this, alive = alive_,
+                     done = std::move(work.handler)](std::optional<net::Response> response) {
                       if (!*alive) return;
                       if (response && response->status == 429)
                         resume_at_ = Clock::now() + milliseconds(400);
@@ -106,8 +106,11 @@
 }
 
 void CloudClient::rent(const core::Rent& request, std::function<void(core::RentalAnswer)> done) {
-  const Json body{{"hire", request.name},   {"bench", request.type},   {"district", request.zone},
-                  {"loaners", request.spot}, {"number", request.count}};
+  const Json body{{"hire", request.name},
+                  {"bench", request.type},
+                  {"district", request.zone},
+                  {"loaners", request.spot},
+                  {"number", request.count}};
   send({{"POST", "/rentals", body.dump()},
         [done = std::move(done)](std::optional<net::Response> response) {
           using Kind = core::RentalAnswer::Kind;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,9 +1,10 @@
 #include "config/settings.hpp"
 
+#include <toml++/toml.h>
+
 #include <fstream>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
 
 #include "net/http_client.hpp"
 
@@ -81,8 +82,8 @@
   out.mesh_address = address_at(root, "", "mesh_addr");
   std::set<std::string> members{out.member};
   each_table(root, "", "siblings", [&](const toml::table& item, const std::string& at) {
-    out.siblings.push_back(
-        {text_at(item, at, "member"), text_at(item, at, "site"), address_at(item, at, "peer_addr")});
+    out.siblings.push_back({text_at(item, at, "member"), text_at(item, at, "site"),
+                            address_at(item, at, "peer_addr")});
     if (!members.insert(out.siblings.back().member).second)
       fail(at + "member", "'" + out.siblings.back().member + "' is named twice");
   });
@@ -175,6 +176,8 @@
   return parse_settings(read_file(path), path.string());
 }
 
-core::Tuning load_tuning(const std::filesystem::path& path) { return parse_tuning(read_file(path)); }
+core::Tuning load_tuning(const std::filesystem::path& path) {
+  return parse_tuning(read_file(path));
+}
 
 }  // namespace violetpulley::config
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -175,7 +175,8 @@
     clear_machines(now);
   }
   const bool round_due = now - last_place_ >= to_duration(settings_.tuning.round);
-  const bool quick = placing_wanted_ && now - last_place_ >= to_duration(settings_.tuning.quick_round);
+  const bool quick =
+      placing_wanted_ && now - last_place_ >= to_duration(settings_.tuning.quick_round);
   if (may_place && (round_due || quick)) {
     last_place_ = now;
     placing_wanted_ = false;
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -30,8 +30,8 @@
 Resources Controller::uncertain_use() const {
   Resources total;
   for (const auto& [id, machine] : fleet_.all()) {
-    const bool foreign = std::any_of(
-        machine.reported.begin(), machine.reported.end(), [&](const TaskReport& entry) {
+    const bool foreign =
+        std::any_of(machine.reported.begin(), machine.reported.end(), [&](const TaskReport& entry) {
           return entry.state != TaskState::exited && !machine.tasks.contains(entry.task);
         });
     if (foreign || unconfirmed_.contains(id)) total += machine.capacity;
@@ -123,8 +123,8 @@
   if (!narrow_types_.contains(type)) return false;
   return std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
     return !narrow_types_.contains(entry.first) && spec.per_task.fits_in(entry.second.capacity) &&
-           (spec.types.empty() || std::find(spec.types.begin(), spec.types.end(), entry.first) !=
-                                      spec.types.end());
+           (spec.types.empty() ||
+            std::find(spec.types.begin(), spec.types.end(), entry.first) != spec.types.end());
   });
 }
 
@@ -160,9 +160,9 @@
         team != teams_.end() && claim <= team->second.guaranteed_cpus + Resources::kSlack;
     const auto estimate = estimator_.estimate(spec);
     const bool hopeless = !std::isfinite(time_left(*job, now).count());
-    queue.push_back({job, estimate, guaranteed, hopeless,
-                     estimate.count() * spec.per_task.cpus *
-                         static_cast<double>(job->waiting.size())});
+    queue.push_back(
+        {job, estimate, guaranteed, hopeless,
+         estimate.count() * spec.per_task.cpus * static_cast<double>(job->waiting.size())});
   }
   // The design's order is longest first. Before it come priority, for the deadlines, and work
   // within a team's guarantee (docs/design.md, "Order of the queue").
@@ -267,9 +267,8 @@
     left -= task.spec->per_task.cpus;
     return left < -Resources::kSlack;
   });
-  std::stable_sort(leftovers.begin(), leftovers.end(), [](const auto& a, const auto& b) {
-    return a.estimate > b.estimate;
-  });
+  std::stable_sort(leftovers.begin(), leftovers.end(),
+                   [](const auto& a, const auto& b) { return a.estimate > b.estimate; });
   const auto options = rental_options(now);
   const auto may_rent = [&](const JobSpec& spec, const RentalOption& option) {
     return !reserved_for_others(spec, option.type->name);
@@ -323,9 +322,8 @@
   if (answer.kind != RentalAnswer::Kind::rented) {
     // A refused pair rests and others are tried; with no answer, what was rented after all will
     // show up in the machine list.
-    resting_[option] = answer.kind == RentalAnswer::Kind::no_capacity
-                           ? rest
-                           : now + to_duration(Seconds(3));
+    resting_[option] =
+        answer.kind == RentalAnswer::Kind::no_capacity ? rest : now + to_duration(Seconds(3));
   } else if (answer.machines.size() < rental.groups.size()) {
     resting_[option] = rest;
   }
@@ -362,8 +360,8 @@
     if (!machine.up() || machine.releasing || types_.empty()) continue;
     // A start that was never answered, of a job that has ended: nothing but the machine's return
     // proves that it will not be executed yet.
-    const bool only_limbo = std::all_of(
-        machine.tasks.begin(), machine.tasks.end(), [&](const auto& entry) {
+    const bool only_limbo =
+        std::all_of(machine.tasks.begin(), machine.tasks.end(), [&](const auto& entry) {
           const auto& task = entry.second;
           return !task.seen && task.abandoned &&
                  now - task.placed > to_duration(settings_.workers.lease);
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -348,9 +348,9 @@
     }
   }
   for (std::size_t at = 0; at < release.size(); at += 100)
-    actions_.push_back(Release{{release.begin() + static_cast<long>(at),
-                                release.begin() + static_cast<long>(
-                                                      std::min(release.size(), at + 100))}});
+    actions_.push_back(
+        Release{{release.begin() + static_cast<long>(at),
+                 release.begin() + static_cast<long>(std::min(release.size(), at + 100))}});
   if (up >= 2 && silent == up && now - takeover_ > to_duration(tuning.silent_after * 1.5))
     actions_.push_back(Resign{"no machine is heard from"});
   std::erase_if(released_, [&](const auto& entry) { return now - entry.second > kRemembered; });
--- a/src/core/packer.cpp
+++ b/src/core/packer.cpp
@@ -39,8 +39,8 @@
          machine.price / machine.capacity.cpus > kDearFactor * cheapest_per_cpu_;
 }
 
-Machine* Packer::choose(const PackTask& task,
-                        const std::function<bool(const Machine&)>& may_use, int least_rank) {
+Machine* Packer::choose(const PackTask& task, const std::function<bool(const Machine&)>& may_use,
+                        int least_rank) {
   // Exception to the design: machines that hold the image come before those that must fetch it,
   // since a fetch takes as long as much of the work (docs/design.md, "Images").
   for (int rank = 2; rank >= least_rank; --rank)
@@ -76,11 +76,9 @@
       if (order < best_order) best = &offer;
       continue;
     }
-    const bool better =
-        offer.bin == own
-            ? std::abs((offer.remaining - task.estimate).count()) <
-                  std::abs((best->remaining - task.estimate).count())
-            : free_room(machine) > free_room(*best->machine);
+    const bool better = offer.bin == own ? std::abs((offer.remaining - task.estimate).count()) <
+                                               std::abs((best->remaining - task.estimate).count())
+                                         : free_room(machine) > free_room(*best->machine);
     if (better) best = &offer;
   }
   return best == nullptr ? nullptr : best->machine;
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -35,8 +35,11 @@
 Json machine_to_json(const core::MachineRecord& record) {
   Json images = Json::array();
   for (const auto& [name, gb] : record.images) images.push_back({name, gb});
-  return {{"endpoint", record.endpoint}, {"type", record.type}, {"zone", record.zone},
-          {"spot", record.spot},         {"images", images}};
+  return {{"endpoint", record.endpoint},
+          {"type", record.type},
+          {"zone", record.zone},
+          {"spot", record.spot},
+          {"images", images}};
 }
 
 core::MachineRecord machine_from_json(const std::string& id, const Json& value) {
@@ -140,12 +143,14 @@
 }
 
 void Leader::take_over() {
-  core::ControllerSettings controller{settings_.teams, settings_.workers, tuning_,
-                                      settings_.cloud_requests_per_s * 0.4,
-                                      settings_.cloud_list_lag,
-                                      {},
-                                      std::chrono::time_point_cast<milliseconds>(
-                                          std::chrono::system_clock::now())};
+  core::ControllerSettings controller{
+      settings_.teams,
+      settings_.workers,
+      tuning_,
+      settings_.cloud_requests_per_s * 0.4,
+      settings_.cloud_list_lag,
+      {},
+      std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now())};
   for (const auto& objective : settings_.objectives)
     if (objective.kind == "finished")
       controller.aims.push_back({objective.job_class, objective.within});
@@ -292,18 +297,18 @@
         {progress_key(action.job, action.chunks[at++]), std::nullopt, std::nullopt});
   std::vector<core::TaskIndex> rest(action.chunks.begin() + static_cast<long>(at),
                                     action.chunks.end());
-  writer_.commit(std::move(transaction), [this, id = action.job, rest](
-                                             store::TransactionResult result) {
-    if (result.outcome == Outcome::ok) {
-      spdlog::info("job {} is done", id);
-      for (const auto chunk : rest)
-        writer_.write({progress_key(id, chunk), std::nullopt, std::nullopt}, nullptr);
-      mirror_.note_closed(id, result.revision);
-      return;
-    }
-    // Ended otherwise, or unknown: the mirror tells, and until then it is tried again.
-    controller_->finish_answered(id, Clock::now() + milliseconds(700));
-  });
+  writer_.commit(
+      std::move(transaction), [this, id = action.job, rest](store::TransactionResult result) {
+        if (result.outcome == Outcome::ok) {
+          spdlog::info("job {} is done", id);
+          for (const auto chunk : rest)
+            writer_.write({progress_key(id, chunk), std::nullopt, std::nullopt}, nullptr);
+          mirror_.note_closed(id, result.revision);
+          return;
+        }
+        // Ended otherwise, or unknown: the mirror tells, and until then it is tried again.
+        controller_->finish_answered(id, Clock::now() + milliseconds(700));
+      });
 }
 
 void Leader::carry_out(core::Action& action) {
@@ -335,8 +340,8 @@
       cloud_.rent(a, [this, alive = alive_, request = a](const core::RentalAnswer& answer) {
         if (!*alive) return;
         if (answer.machines.size() < static_cast<std::size_t>(request.count))
-          spdlog::info("rental {} brought {} of {} machines", request.name,
-                       answer.machines.size(), request.count);
+          spdlog::info("rental {} brought {} of {} machines", request.name, answer.machines.size(),
+                       request.count);
         controller_->rental_answered(request.name, answer, Clock::now());
         pump_soon();
       });
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -89,15 +89,15 @@
   // A sibling sends nothing back on this connection: a read ends when the connection does.
   void wait_for_end() {
     auto self = shared_from_this();
-    socket_.async_read_some(asio::buffer(&byte_, 1), [self](const asio::error_code& error,
-                                                            std::size_t) {
-      if (self->mesh_ == nullptr) return;
-      if (!error) return self->wait_for_end();
-      if (!self->connected_) return;
-      self->connected_ = false;
-      self->was_closed_ = true;
-      self->connect();
-    });
+    socket_.async_read_some(asio::buffer(&byte_, 1),
+                            [self](const asio::error_code& error, std::size_t) {
+                              if (self->mesh_ == nullptr) return;
+                              if (!error) return self->wait_for_end();
+                              if (!self->connected_) return;
+                              self->connected_ = false;
+                              self->was_closed_ = true;
+                              self->connect();
+                            });
   }
 
   void arm(std::chrono::milliseconds limit) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -33,8 +33,8 @@
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     complete_ = false;
-    output_ = work_.request.method + " " + work_.request.target + " HTTP/1.1\r\nHost: " +
-              client_->host_ + "\r\n";
+    output_ = work_.request.method + " " + work_.request.target +
+              " HTTP/1.1\r\nHost: " + client_->host_ + "\r\n";
     if (!work_.request.body.empty() || work_.request.method != "GET")
       output_ += "Content-Type: application/json\r\nContent-Length: " +
                  std::to_string(work_.request.body.size()) + "\r\n";
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,18 +13,30 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 413: return "Payload Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Entity";
-    case 429: return "Too Many Requests";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Payload Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Entity";
+    case 429:
+      return "Too Many Requests";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
@@ -159,8 +171,8 @@
       s.on_headers_complete = [](http_parser* p) {
         auto& self = *static_cast<ServerConnection*>(p->data);
         const bool known = p->content_length != static_cast<std::uint64_t>(-1);
-        self.too_large_ = known && self.server_ != nullptr &&
-                          p->content_length > self.server_->limits_.max_body;
+        self.too_large_ =
+            known && self.server_ != nullptr && p->content_length > self.server_->limits_.max_body;
         return self.too_large_ ? -1 : 0;
       };
       s.on_body = [](http_parser* p, const char* at, std::size_t n) {
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -155,7 +155,8 @@
   const auto now = Clock::now();
   auto& view = siblings_[status.member];
   view.heard = now;
-  view.store_answered = now - milliseconds(std::min<std::uint64_t>(status.store_silence_ms, 1'000'000));
+  view.store_answered =
+      now - milliseconds(std::min<std::uint64_t>(status.store_silence_ms, 1'000'000));
   view.token = status.token;
   for (const auto& count : status.counts)
     if (mirror_.find(count.id) != nullptr) told_counts_[count.id] = {count.done, count.running};
@@ -222,8 +223,7 @@
   const net::Response wrong_method{405, R"({"error":"method not allowed"})", {}};
   if (path == "/agent/beat")
     return request.method == "POST" ? report(request, respond) : respond(wrong_method);
-  if (path == "/healthz")
-    return request.method == "GET" ? health(respond) : respond(wrong_method);
+  if (path == "/healthz") return request.method == "GET" ? health(respond) : respond(wrong_method);
   if (path == "/v1/jobs")
     return request.method == "POST" ? users_.submit(request, respond) : respond(wrong_method);
   static const std::string jobs = "/v1/jobs/";
--- a/src/store/election.cpp
+++ b/src/store/election.cpp
@@ -15,8 +15,7 @@
 }  // namespace
 
 Election::Election(asio::io_context& io, StoreClient& store, core::Leadership& leadership,
-                   std::string member, std::string mesh_address, Events events,
-                   std::uint64_t seed)
+                   std::string member, std::string mesh_address, Events events, std::uint64_t seed)
     : store_(store),
       leadership_(leadership),
       member_(std::move(member)),
@@ -78,9 +77,9 @@
 void Election::apply(const std::optional<Json>& value, Revision revision) {
   if (value) {
     try {
-      leader_ = LeaderInfo{value->at("member").get<std::string>(),
-                           value->at("mesh").get<std::string>(),
-                           value->at("hold").get<std::uint64_t>(), revision};
+      leader_ =
+          LeaderInfo{value->at("member").get<std::string>(), value->at("mesh").get<std::string>(),
+                     value->at("hold").get<std::uint64_t>(), revision};
     } catch (const std::exception& problem) {
       spdlog::error("the leader key holds nonsense: {}", problem.what());
       leader_ = LeaderInfo{"", "", 0, revision};
@@ -112,8 +111,7 @@
       if (*alive && !error && !leader_) stand();
     });
   };
-  store_.create_hold(kHoldTime, [this, again, alive = alive_](Outcome outcome,
-                                                              std::uint64_t hold) {
+  store_.create_hold(kHoldTime, [this, again, alive = alive_](Outcome outcome, std::uint64_t hold) {
     if (!*alive) return;
     if (outcome != Outcome::ok) return again();
     if (leader_) {
@@ -121,10 +119,9 @@
       return store_.end_hold(hold);
     }
     const auto sent = Clock::now();
-    Transaction create{{{kKey, 0}},
-                       {{kKey,
-                         Json{{"member", member_}, {"mesh", mesh_address_}, {"hold", hold}},
-                         hold}}};
+    Transaction create{
+        {{kKey, 0}},
+        {{kKey, Json{{"member", member_}, {"mesh", mesh_address_}, {"hold", hold}}, hold}}};
     store_.commit(create, Urgency::safety,
                   [this, again, hold, sent, alive](TransactionResult result) {
                     if (!*alive) return;
--- a/src/store/job_mirror.cpp
+++ b/src/store/job_mirror.cpp
@@ -38,8 +38,7 @@
     if (result.outcome != Outcome::ok) return retry_reload();
     // Later pages may be newer than the first: changes since the first page come by the watch.
     std::unordered_map<core::JobId, Revision> listed;
-    for (const auto& item : result.items)
-      listed[item.key.substr(kPrefixSize)] = item.revision;
+    for (const auto& item : result.items) listed[item.key.substr(kPrefixSize)] = item.revision;
     std::vector<core::JobId> gone;
     for (const auto& [id, record] : jobs_)
       if (!listed.contains(id) && record.revision <= result.revision) gone.push_back(id);
--- a/src/store/leader_writer.cpp
+++ b/src/store/leader_writer.cpp
@@ -32,12 +32,13 @@
     callbacks.push_back(std::move(next.done));
     queue_.pop_front();
   }
-  commit(std::move(transaction), [this, callbacks = std::move(callbacks)](TransactionResult result) {
-    in_flight_ = false;
-    for (const auto& done : callbacks)
-      if (done) done(result.outcome == Outcome::ok);
-    flush();
-  });
+  commit(std::move(transaction),
+         [this, callbacks = std::move(callbacks)](TransactionResult result) {
+           in_flight_ = false;
+           for (const auto& done : callbacks)
+             if (done) done(result.outcome == Outcome::ok);
+           flush();
+         });
 }
 
 }  // namespace violetpulley::store
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -4,8 +4,8 @@
 
 namespace violetpulley::store {
 
-using std::chrono::milliseconds;
 using core::Clock;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -14,11 +14,16 @@
 Outcome outcome_of(const std::optional<net::Response>& response) {
   if (!response) return Outcome::unknown;
   switch (response->status) {
-    case 200: return Outcome::ok;
-    case 404: return Outcome::not_found;
-    case 409: return Outcome::conflict;
-    case 410: return Outcome::too_old;
-    default: return Outcome::refused;
+    case 200:
+      return Outcome::ok;
+    case 404:
+      return Outcome::not_found;
+    case 409:
+      return Outcome::conflict;
+    case 410:
+      return Outcome::too_old;
+    default:
+      return Outcome::refused;
   }
 }
 
@@ -64,8 +69,8 @@
 }
 
 void StoreClient::launch(Work work, bool watching) {
-  auto handler = [this, alive = alive_, done = std::move(work.handler)](
-                     std::optional<net::Response> response) {
+  auto handler = [this, alive = alive_,
+                  done = std::move(work.handler)](std::optional<net::Response> response) {
     if (!*alive) return;
     if (response && response->status == 429) {
       back_off_ = std::clamp(back_off_ * 2, milliseconds(50), milliseconds(1000));
@@ -145,8 +150,8 @@
             outcome = read_body(*response, [&](const Json& body) {
               if (gathered->revision == 0) gathered->revision = body.at("ledger").get<Revision>();
               for (const auto& row : body.at("rows"))
-                gathered->items.push_back({row.at("k").get<std::string>(), row.at("v"),
-                                           row.at("stamp").get<Revision>()});
+                gathered->items.push_back(
+                    {row.at("k").get<std::string>(), row.at("v"), row.at("stamp").get<Revision>()});
               more = body.value("truncated", false) && !body.at("rows").empty();
             });
           gathered->outcome = outcome;
@@ -227,8 +232,7 @@
   send(std::move(work), urgency);
 }
 
-void StoreClient::create_hold(milliseconds ttl,
-                              std::function<void(Outcome, std::uint64_t)> done) {
+void StoreClient::create_hold(milliseconds ttl, std::function<void(Outcome, std::uint64_t)> done) {
   send({{"POST", "/holds", Json{{"ttl_ms", ttl.count()}}.dump()},
         kTimeout,
         0,
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -28,12 +28,14 @@
 
 TEST(JobCodec, RefusesWhatIsMalformed) {
   const std::pair<const char*, Json> bad[] = {
-      {"id", "412"},       {"id", "req-"},         {"id", 5},          {"id", "req-1/2"},
-      {"lot", ""},         {"owner", Json::array()}, {"shape", "ring"},  {"urgency", nullptr},
-      {"cuts", 0},         {"cuts", 100001},       {"cuts", 1.5},      {"cuts", "3"},
-      {"cores", -1},       {"cores", 1e300},       {"cores", "8"},     {"memory_gb", false},
-      {"casket", 7},       {"image_gb", -0.1},     {"benches", "g8"},  {"benches", {1}},
-      {"district", 3},     {"loaners", "yes"},     {"expect_s", nullptr}, {"due_s", -1}};
+      {"id", "412"},        {"id", "req-"},        {"id", 5},
+      {"id", "req-1/2"},    {"lot", ""},           {"owner", Json::array()},
+      {"shape", "ring"},    {"urgency", nullptr},  {"cuts", 0},
+      {"cuts", 100001},     {"cuts", 1.5},         {"cuts", "3"},
+      {"cores", -1},        {"cores", 1e300},      {"cores", "8"},
+      {"memory_gb", false}, {"casket", 7},         {"image_gb", -0.1},
+      {"benches", "g8"},    {"benches", {1}},      {"district", 3},
+      {"loaners", "yes"},   {"expect_s", nullptr}, {"due_s", -1}};
   for (const auto& [field, value] : bad) {
     auto job = good_job();
     job[field] = value;
@@ -59,10 +61,10 @@
   };
   EXPECT_FALSE(check(nullptr, {}));
   EXPECT_TRUE(check("owner", "nobody"));
-  EXPECT_TRUE(check("cores", 65.0));      // over the team's limit
+  EXPECT_TRUE(check("cores", 65.0));  // over the team's limit
   EXPECT_TRUE(check("memory_gb", 769.0));
   EXPECT_TRUE(check("benches", Json{"x1"}));
-  EXPECT_TRUE(check("district", "b"));    // the type is not there
+  EXPECT_TRUE(check("district", "b"));  // the type is not there
   EXPECT_TRUE(check("district", "c"));
   EXPECT_TRUE(check("shape", "gang"));
 }
@@ -94,9 +96,10 @@
 }
 
 TEST(AgentCodec, WritesCommands) {
-  const auto body = Json::parse(agent::orders_body(
-      41, 2, {{core::Verb::start, {"req-7", 3}, 9, core::Seconds(0)},
-              {core::Verb::stop, {"req-7", 4}, 8, core::Seconds(10)}}));
+  const auto body =
+      Json::parse(agent::orders_body(41, 2,
+                                     {{core::Verb::start, {"req-7", 3}, 9, core::Seconds(0)},
+                                      {core::Verb::stop, {"req-7", 4}, 8, core::Seconds(10)}}));
   EXPECT_EQ(body, Json::parse(R"({"baton":41,"shift":2,"orders":[
     {"verb":"start","cut":"req-7/3","try":9},
     {"verb":"kill","cut":"req-7/4","try":8,"leeway_s":10.0}]})"));
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -55,10 +55,10 @@
 
 TEST(Packer, OwnBinByClosestThenGreaterThenLesserByRoom) {
   Fleet fleet;
-  auto& far = machine_with(fleet, "far", 8, Seconds(15.5));      // bin of 10 s: [8, 16)
-  auto& near = machine_with(fleet, "near", 8, Seconds(9));       // the same bin, closer
+  auto& far = machine_with(fleet, "far", 8, Seconds(15.5));  // bin of 10 s: [8, 16)
+  auto& near = machine_with(fleet, "near", 8, Seconds(9));   // the same bin, closer
   auto& greater = machine_with(fleet, "greater", 8, Seconds(40));
-  auto& roomy = machine_with(fleet, "roomy", 16, Seconds(50));   // greater too, more room
+  auto& roomy = machine_with(fleet, "roomy", 16, Seconds(50));  // greater too, more room
   auto& lesser = machine_with(fleet, "lesser", 32, Seconds(3));
   const auto spec = spec_of(1, 1, Seconds(10));
   const PackTask task{&spec, Seconds(10)};
@@ -123,7 +123,8 @@
   EXPECT_TRUE(underused(machine, 0.5));
   EXPECT_TRUE(worth_restarting(machine, kNow, Seconds(30), Seconds(20)));
   // After 60 s, 40 s remain: less than the 60 s that would be lost.
-  EXPECT_FALSE(worth_restarting(machine, kNow + std::chrono::seconds(60), Seconds(30), Seconds(20)));
+  EXPECT_FALSE(
+      worth_restarting(machine, kNow + std::chrono::seconds(60), Seconds(30), Seconds(20)));
 }
 
 TEST(Leadership, ServesOnlyAsLongAsACancellationStillEndsInTime) {
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -1,1 +1,192 @@
+// The real program, three processes on loopback, against in-process stand-ins. There are no
+// assertions about time: waits end when what is waited for has come, or fail after a long bound.
 #include <gtest/gtest.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <fstream>
+
+#include "standins.hpp"
+
+extern char** environ;
+
+namespace violetpulley {
+namespace {
+
+using standins::Json;
+using std::chrono::steady_clock;
+
+class Loopback : public ::testing::Test {
+ protected:
+  Loopback() : state_(io_), cloud_(io_, {}) {
+    std::vector<asio::ip::tcp::acceptor> taken;
+    const auto port = [&] {
+      taken.emplace_back(io_, standins::any_port());
+      return standins::text_of(taken.back().local_endpoint());
+    };
+    std::map<std::string, std::string> nodes;
+    for (const char* name : {"n-0", "n-1", "n-2"}) {
+      public_[name] = port();
+      mesh_[name] = port();
+      nodes[name] = public_[name];
+    }
+    cloud_.set_nodes(nodes);
+    taken.clear();
+    for (const auto& [name, address] : public_) start(name);
+  }
+
+  ~Loopback() override {
+    for (const auto& [name, pid] : processes_) stop(pid);
+  }
+
+  void start(const std::string& name) {
+    const auto path = ::testing::TempDir() + "violetpulley-" + std::to_string(getpid()) + name;
+    std::ofstream(path) << settings(name);
+    std::vector<std::string> words{VIOLETPULLEY_PROGRAM, "--config", path};
+    std::vector<char*> args;
+    for (auto& word : words) args.push_back(word.data());
+    args.push_back(nullptr);
+    setenv("LOG_LEVEL", "error", 1);
+    pid_t pid = 0;
+    ASSERT_EQ(posix_spawn(&pid, args[0], nullptr, nullptr, args.data(), environ), 0);
+    processes_[name] = pid;
+  }
+
+  static void stop(pid_t pid) {
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+  }
+
+  void kill_node(const std::string& name) {
+    stop(processes_.at(name));
+    processes_.erase(name);
+  }
+
+  std::string settings(const std::string& name) {
+    std::string text = "member = \"" + name + "\"\nsite = \"z1\"\npublic_addr = \"" +
+                       public_.at(name) + "\"\nmesh_addr = \"" + mesh_.at(name) + "\"\n";
+    for (const auto& [other, address] : mesh_)
+      if (other != name)
+        text += "[[siblings]]\nmember = \"" + other + "\"\nsite = \"z1\"\npeer_addr = \"" +
+                address + "\"\n";
+    return text + "[services]\ncloud = \"" + cloud_.address() + "\"\nstate = \"" +
+           state_.address() + R"("
+[settings]
+nodes = 3
+zones = ["z1"]
+skew_ms = 5.0
+[[settings.teams]]
+name = "team"
+cpus_max = 40.0
+[settings.workers]
+report_s = 3.0
+lease_s = 24.0
+cancel_s = 54.0
+[settings.state]
+rps = 500.0
+write_rps = 200.0
+value_kb = 16.0
+txn_ops = 12
+[settings.cloud]
+rps = 20.0
+list_lag_s = 10.0
+[settings.limits]
+max_sockets = 500
+)";
+  }
+
+  net::Response ask(const std::string& node, const std::string& method, const std::string& target,
+                    const std::string& body = "") {
+    net::HttpClient client(io_, net::parse_endpoint(public_.at(node)), 1);
+    std::optional<net::Response> answer;
+    bool answered = false;
+    client.request({method, target, body}, std::chrono::seconds(3), [&](auto response) {
+      answer = std::move(response);
+      answered = true;
+    });
+    while (!answered) io_.run_one();
+    return answer.value_or(net::Response{0, "", {}});
+  }
+
+  // Asks again until the answer has the status, and returns its body.
+  Json until(const std::string& node, const std::string& method, const std::string& target,
+             const std::string& body, const std::function<bool(int, const Json&)>& good) {
+    const auto bound = steady_clock::now() + std::chrono::seconds(60);
+    while (steady_clock::now() < bound) {
+      const auto response = ask(node, method, target, body);
+      const auto json = Json::parse(response.body, nullptr, false);
+      if (good(response.status, json)) return json;
+      asio::steady_timer pause(io_, std::chrono::milliseconds(50));
+      bool over = false;
+      pause.async_wait([&](const asio::error_code&) { over = true; });
+      while (!over) io_.run_one();
+    }
+    ADD_FAILURE() << method << " " << target << " never got the answer";
+    return {};
+  }
+
+  static std::string job(const std::string& id, int tasks, double cpus = 2) {
+    return Json{{"id", id},         {"lot", "c"},          {"owner", "team"},
+                {"shape", "array"}, {"urgency", "normal"}, {"cuts", tasks},
+                {"cores", cpus},    {"gpus", 0.0},         {"memory_gb", 1},
+                {"casket", "i"},    {"image_gb", 0.1},     {"expect_s", 0.1}}
+        .dump();
+  }
+
+  void submit(const std::string& node, const std::string& id, int tasks) {
+    until(node, "POST", "/v1/jobs", job(id, tasks),
+          [](int status, const Json&) { return status == 200 || status == 201; });
+  }
+  void wait_done(const std::string& node, const std::string& id) {
+    until(node, "GET", "/v1/jobs/" + id, "", [](int status, const Json& body) {
+      return status == 200 && body.at("status") == "done";
+    });
+  }
+
+  asio::io_context io_;
+  standins::StateService state_;
+  standins::Cloud cloud_;
+  std::map<std::string, std::string> public_;
+  std::map<std::string, std::string> mesh_;
+  std::map<std::string, pid_t> processes_;
+};
+
+TEST_F(Loopback, RunsCancelsRefusesAndSurvivesKills) {
+  submit("n-0", "req-1", 6);
+  wait_done("n-1", "req-1");
+  EXPECT_EQ(cloud_.starts(), 6U);
+  EXPECT_EQ(ask("n-2", "POST", "/v1/jobs", job("req-1", 6)).status, 200);
+
+  // A known id is recognised before the submission is looked at anew.
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", R"({"id":"req-1"})").status, 200);
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", "{").status, 400);
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", "[]").status, 400);
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", R"({"id":"req-2"})").status, 400);
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", job("req-2", 1, 99)).status, 422);
+  EXPECT_EQ(ask("n-0", "GET", "/v1/jobs/req-2").status, 404);
+  EXPECT_EQ(ask("n-0", "GET", "/nowhere").status, 404);
+  EXPECT_EQ(ask("n-0", "DELETE", "/v1/jobs").status, 405);
+  EXPECT_EQ(ask("n-0", "POST", "/agent/beat", "{}").status / 100, 4);
+  EXPECT_EQ(ask("n-0", "GET", "/healthz").status, 200);
+
+  submit("n-1", "req-9", 2);  // its tasks run until they are stopped
+  const auto cancelled = until("n-2", "POST", "/v1/jobs/req-9/withdraw", "",
+                               [](int status, const Json&) { return status == 200; });
+  EXPECT_EQ(cancelled.at("status"), "withdrawn");
+  EXPECT_EQ(Json::parse(ask("n-0", "GET", "/v1/jobs/req-9").body).at("status"), "withdrawn");
+
+  // Whoever leads, two of three are killed: one of the kills hits the leader or leaves it alone.
+  submit("n-2", "req-3", 5);
+  kill_node("n-0");
+  kill_node("n-1");
+  wait_done("n-2", "req-3");
+  start("n-0");
+  kill_node("n-2");
+  submit("n-0", "req-4", 3);
+  wait_done("n-0", "req-4");
+  wait_done("n-0", "req-1");
+}
+
+}  // namespace
+}  // namespace violetpulley
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,7 +1,7 @@
-#include <gtest/gtest.h>
-
 #include "config/settings.hpp"
 
+#include <gtest/gtest.h>
+
 namespace violetpulley::config {
 namespace {
 
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -147,8 +147,7 @@
     leader.controller->tick(now_, leader.leadership.may_serve(now_));
     auto actions = leader.controller->take_actions();
     const auto token = leader.token;
-    for (auto& action : actions)
-      std::visit([&](auto& a) { carry_out(leader, token, a); }, action);
+    for (auto& action : actions) std::visit([&](auto& a) { carry_out(leader, token, a); }, action);
     if (resigning_ == token) {
       resigning_ = 0;
       if (leader_ && leader_->token == token) lead_no_more();
@@ -187,7 +186,8 @@
     if (now_ < worker.hangs_until) {
       const auto rest = Seconds(worker.hangs_until - now_);
       later(rest + Seconds(0.01), [this, token, orders] { deliver(token, orders, false); });
-      if (answered) later(Seconds(2), [this, token, id = orders.machine] { orders_lost(token, id); });
+      if (answered)
+        later(Seconds(2), [this, token, id = orders.machine] { orders_lost(token, id); });
       return;
     }
     if (token >= worker.token && orders.session == worker.session) {
@@ -259,9 +259,8 @@
         const int count = troubles_ && chance(0.2) ? rent.count / 2 : rent.count;
         for (int i = 0; i < std::min(count, 4); ++i) {
           const double factor = troubles_ && chance(0.1) ? 50 : between(0.6, 1.5);
-          answer.machines.push_back(
-              boot(rent.type, rent.zone, rent.spot,
-                   now_ + to_duration(type(rent.type).boot * factor)));
+          answer.machines.push_back(boot(rent.type, rent.zone, rent.spot,
+                                         now_ + to_duration(type(rent.type).boot * factor)));
         }
       } else {
         answer.kind = RentalAnswer::Kind::no_capacity;
@@ -359,8 +358,9 @@
         const auto& spec = specs_.at(key.first.job);
         worker.images.insert(spec.image);
         task.state = TaskState::running;
-        task.ends = now_ + to_duration(completed_.contains(key.first) ? Seconds(0)
-                                                                      : spec.estimate * between(0.5, 1.6));
+        task.ends =
+            now_ + to_duration(completed_.contains(key.first) ? Seconds(0)
+                                                              : spec.estimate * between(0.5, 1.6));
         changed = true;
       }
       if (task.state == TaskState::running && worker.sick) {
@@ -380,7 +380,7 @@
   }
 
   WorkerReport report_of(Worker& worker) {
-    WorkerReport report{worker.id,   "10.0.0.1:1",       worker.type,  worker.zone, worker.spot,
+    WorkerReport report{worker.id,      "10.0.0.1:1",      worker.type,  worker.zone, worker.spot,
                         worker.session, ++worker.sequence, worker.token, {},          {}};
     if (worker.taken_at) report.notice = Seconds(*worker.taken_at - now_);
     for (const auto& [key, task] : worker.tasks)
@@ -403,8 +403,8 @@
       if (leader == nullptr || !leader->leadership.may_serve(now_)) return;
       leader->controller->report(report, now_);
       const auto token = leader->token;
-      const auto commands = report.token > token ? std::vector<Command>{}
-                                                 : leader->controller->response_commands(id);
+      const auto commands =
+          report.token > token ? std::vector<Command>{} : leader->controller->response_commands(id);
       if (chance(loss())) return;
       later(Seconds(0.02), [this, id, sent, token, commands, session = report.session] {
         const auto found = workers_.find(id);
@@ -430,7 +430,8 @@
       spec.team = chance(0.5) ? "blue" : "red";
       spec.priority = chance(0.3) ? Priority::high : Priority::normal;
       spec.tasks = static_cast<TaskIndex>(between(1, 9));
-      spec.per_task = chance(0.06) ? Resources{16, 0, 16} : Resources{chance(0.5) ? 1.0 : 4.0, 0, 2};
+      spec.per_task =
+          chance(0.06) ? Resources{16, 0, 16} : Resources{chance(0.5) ? 1.0 : 4.0, 0, 2};
       spec.image = "i" + std::to_string(job_counter_ % 4);
       spec.image_gb = 1;
       spec.spot_allowed = chance(0.7);
@@ -439,8 +440,8 @@
       if (!spec.types.empty() && spec.types[0] == "large") spec.zone.reset();
       spec.estimate = Seconds(between(2, 30));
       specs_[spec.id] = spec;
-      JobRecord record{spec, WallTime(std::chrono::duration_cast<milliseconds>(
-                                 now_.time_since_epoch())),
+      JobRecord record{spec,
+                       WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())),
                        ++revision_};
       jobs_[spec.id] = {record};
       // The leader hears of it a little later, and only while it verifiably leads.
--- /dev/null
+++ b/tests/standins.hpp
@@ -0,0 +1,358 @@
+// In-process stand-ins for the outside systems, written from their protocols: the state service,
+// the cloud and one worker per rented machine.
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+
+namespace violetpulley::standins {
+
+using Json = nlohmann::json;
+using net::Request;
+using net::Responder;
+
+inline asio::ip::tcp::endpoint any_port() { return {asio::ip::make_address("127.0.0.1"), 0}; }
+
+inline std::string text_of(const asio::ip::tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+inline std::string query(const std::string& target, const std::string& name) {
+  const auto at = target.find(name + "=");
+  if (at == std::string::npos) return "";
+  const auto from = at + name.size() + 1;
+  return target.substr(from, target.find('&', from) - from);
+}
+
+class StateService {
+ public:
+  explicit StateService(asio::io_context& io)
+      : io_(io), server_(io, any_port(), {}, [this](Request&& request, const Responder& respond) {
+          route(request, respond);
+        }) {}
+
+  std::string address() const { return text_of(server_.local_endpoint()); }
+
+ private:
+  struct Entry {
+    Json value;
+    std::uint64_t revision = 0;
+    std::uint64_t hold = 0;
+  };
+  struct Watch {
+    std::string prefix;
+    std::uint64_t since;
+    Responder respond;
+    std::shared_ptr<asio::steady_timer> timer;
+  };
+
+  void route(const Request& request, const Responder& respond) {
+    const auto path = request.target.substr(0, request.target.find('?'));
+    if (path == "/txn") return transact(Json::parse(request.body), respond);
+    if (path == "/changes") return watch(request.target, respond);
+    if (path == "/store") return list(request.target, respond);
+    if (path.starts_with("/store/")) {
+      const auto found = entries_.find(path.substr(7));
+      if (found == entries_.end()) return respond({404, Json{{"ledger", revision_}}.dump(), {}});
+      return respond(
+          {200,
+           Json{{"k", found->first}, {"v", found->second.value}, {"stamp", found->second.revision}}
+               .dump(),
+           {}});
+    }
+    if (path == "/holds") {
+      const auto hold = ++last_hold_;
+      extend(hold, std::chrono::milliseconds(Json::parse(request.body).at("ttl_ms").get<int>()));
+      return respond({200, Json{{"tenure", hold}}.dump(), {}});
+    }
+    const auto hold = std::stoull(path.substr(7));
+    if (!holds_.contains(hold)) return respond({404, "{}", {}});
+    if (request.method == "DELETE")
+      end(hold);
+    else
+      extend(hold, holds_.at(hold).ttl);
+    respond({200, "{}", {}});
+  }
+
+  void extend(std::uint64_t hold, std::chrono::milliseconds ttl) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, ttl);
+    timer->async_wait([this, hold](const asio::error_code& error) {
+      if (!error) end(hold);
+    });
+    holds_[hold] = {ttl, timer};
+  }
+
+  void end(std::uint64_t hold) {
+    holds_.erase(hold);
+    ++revision_;
+    for (auto entry = entries_.begin(); entry != entries_.end();)
+      if (entry->second.hold == hold) {
+        changes_.push_back({{"delete", entry->first}, {"stamp", revision_}});
+        entry = entries_.erase(entry);
+      } else {
+        ++entry;
+      }
+    wake();
+  }
+
+  void transact(const Json& body, const Responder& respond) {
+    Json failed = Json::array();
+    for (const auto& condition : body.at("if")) {
+      const auto found = entries_.find(condition.at("k").get<std::string>());
+      const std::uint64_t revision = found == entries_.end() ? 0 : found->second.revision;
+      if (revision != condition.at("stamp").get<std::uint64_t>())
+        failed.push_back(condition.at("k"));
+    }
+    if (!failed.empty())
+      return respond({409, Json{{"failed", failed}, {"ledger", revision_}}.dump(), {}});
+    for (const auto& write : body.at("then"))
+      if (write.contains("tenure") && !holds_.contains(write.at("tenure").get<std::uint64_t>()))
+        return respond({400, R"({"error":"no such lease"})", {}});
+    ++revision_;
+    for (const auto& write : body.at("then")) {
+      if (write.contains("delete")) {
+        entries_.erase(write.at("delete").get<std::string>());
+        changes_.push_back({{"delete", write.at("delete")}, {"stamp", revision_}});
+      } else {
+        const auto key = write.at("write").get<std::string>();
+        entries_[key] = {write.at("v"), revision_, write.value("tenure", std::uint64_t{0})};
+        changes_.push_back({{"write", key}, {"v", write.at("v")}, {"stamp", revision_}});
+      }
+    }
+    respond({200, Json{{"ledger", revision_}}.dump(), {}});
+    wake();
+  }
+
+  void list(const std::string& target, const Responder& respond) {
+    Json rows = Json::array();
+    for (const auto& [key, entry] : entries_)
+      if (key.starts_with(query(target, "prefix")) && key > query(target, "since"))
+        rows.push_back({{"k", key}, {"v", entry.value}, {"stamp", entry.revision}});
+    respond({200, Json{{"rows", rows}, {"truncated", false}, {"ledger", revision_}}.dump(), {}});
+  }
+
+  bool answer(const std::string& prefix, std::uint64_t since, bool now, const Responder& respond) {
+    Json news = Json::array();
+    for (const auto& change : changes_) {
+      const auto key = change.value(change.contains("write") ? "write" : "delete", std::string());
+      if (change.at("stamp").get<std::uint64_t>() > since && key.starts_with(prefix))
+        news.push_back(change);
+    }
+    if (news.empty() && !now) return false;
+    respond({200, Json{{"ledger", revision_}, {"news", news}}.dump(), {}});
+    return true;
+  }
+
+  void watch(const std::string& target, const Responder& respond) {
+    const auto prefix = query(target, "prefix");
+    const auto since = std::stoull(query(target, "since"));
+    const std::chrono::milliseconds block(std::stoul(query(target, "block_ms")));
+    if (answer(prefix, since, block.count() == 0, respond)) return;
+    auto timer = std::make_shared<asio::steady_timer>(io_, block);
+    timer->async_wait([this, prefix, since, respond](const asio::error_code& error) {
+      if (!error) answer(prefix, since, true, respond);
+    });
+    watches_.push_back({prefix, since, respond, timer});
+  }
+
+  void wake() {
+    std::erase_if(watches_, [&](const Watch& watch) {
+      return watch.timer->expiry() < std::chrono::steady_clock::now() ||
+             answer(watch.prefix, watch.since, false, watch.respond);
+    });
+  }
+
+  struct Hold {
+    std::chrono::milliseconds ttl;
+    std::shared_ptr<asio::steady_timer> timer;
+  };
+  asio::io_context& io_;
+  std::map<std::string, Entry> entries_;
+  std::vector<Json> changes_;
+  std::vector<Watch> watches_;
+  std::map<std::uint64_t, Hold> holds_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t last_hold_ = 0;
+  net::HttpServer server_;
+};
+
+// One machine's worker: reports, obeys, and runs every task for a moment.
+class Worker {
+ public:
+  Worker(asio::io_context& io, std::string id, std::map<std::string, std::string> nodes)
+      : io_(io),
+        id_(std::move(id)),
+        nodes_(std::move(nodes)),
+        node_(nodes_.begin()->first),
+        timer_(io),
+        server_(io, any_port(), {}, [this](Request&& request, const Responder& respond) {
+          orders(Json::parse(request.body), respond);
+        }) {
+    report();
+  }
+
+  std::size_t starts() const { return starts_; }
+
+ private:
+  struct Task {
+    std::string state = "fetching";
+    std::string cause;
+    std::chrono::steady_clock::time_point ends{};
+  };
+
+  Json state() {
+    const auto now = std::chrono::steady_clock::now();
+    Json tasks = Json::array();
+    for (auto& [key, task] : tasks_) {
+      if (task.state != "exited" && now >= task.ends) {
+        task.state = "exited";
+        task.cause = "done";
+      }
+      Json entry{{"cut", key.first}, {"try", key.second}, {"status", task.state}};
+      if (!task.cause.empty()) entry["cause"] = task.cause;
+      tasks.push_back(entry);
+    }
+    return {{"rig", id_},           {"endpoint", text_of(server_.local_endpoint())},
+            {"bench", "small"},     {"district", "z1"},
+            {"loaners", false},     {"shift", 1},
+            {"tally", ++sequence_}, {"baton", token_},
+            {"recall_s", nullptr},  {"cuts", tasks}};
+  }
+
+  void execute(const Json& commands) {
+    for (const auto& command : commands) {
+      const std::pair key{command.at("cut").get<std::string>(),
+                          command.at("try").get<std::uint64_t>()};
+      const auto verb = command.at("verb").get<std::string>();
+      if (verb == "start" && !tasks_.contains(key)) {
+        ++starts_;
+        tasks_[key] = {
+            "running", "",
+            std::chrono::steady_clock::now() +
+                std::chrono::milliseconds(key.first.starts_with("req-9") ? 600'000 : 100)};
+      } else if (verb == "kill" && tasks_.contains(key) && tasks_[key].state != "exited") {
+        tasks_[key].state = "exited";
+        tasks_[key].cause = "halted";
+      } else if (verb == "reap") {
+        tasks_.erase(key);
+      }
+    }
+  }
+
+  void orders(const Json& body, const Responder& respond) {
+    const bool obey = body.at("baton").get<std::uint64_t>() >= token_ && body.at("shift") == 1;
+    if (obey) {
+      token_ = body.at("baton").get<std::uint64_t>();
+      execute(body.at("orders"));
+    }
+    respond({obey ? 200 : 409, state().dump(), {}});
+  }
+
+  void report() {
+    client_ = std::make_unique<net::HttpClient>(io_, net::parse_endpoint(nodes_.at(node_)), 1);
+    client_->request({"POST", "/agent/beat", state().dump()}, std::chrono::seconds(2),
+                     [this](const std::optional<net::Response>& response) {
+                       if (response && response->status == 200) {
+                         const auto body = Json::parse(response->body);
+                         if (body.at("baton").get<std::uint64_t>() >= token_) {
+                           token_ = body.at("baton").get<std::uint64_t>();
+                           execute(body.at("orders"));
+                         }
+                       } else {
+                         next_node(response);
+                       }
+                       timer_.expires_after(std::chrono::milliseconds(100));
+                       timer_.async_wait([this](const asio::error_code& error) {
+                         if (!error) report();
+                       });
+                     });
+  }
+
+  void next_node(const std::optional<net::Response>& response) {
+    if (response && response->status == 421) {
+      const auto body = Json::parse(response->body);
+      const auto named = body.value("foreman", std::string());
+      if (nodes_.contains(named) && named != node_) {
+        node_ = named;
+        return;
+      }
+    }
+    auto next = std::next(nodes_.find(node_));
+    node_ = next == nodes_.end() ? nodes_.begin()->first : next->first;
+  }
+
+  asio::io_context& io_;
+  std::string id_;
+  std::map<std::string, std::string> nodes_;
+  std::string node_;
+  std::map<std::pair<std::string, std::uint64_t>, Task> tasks_;
+  std::uint64_t token_ = 0;
+  std::uint64_t sequence_ = 0;
+  std::size_t starts_ = 0;
+  asio::steady_timer timer_;
+  net::HttpServer server_;
+  std::unique_ptr<net::HttpClient> client_;
+};
+
+class Cloud {
+ public:
+  Cloud(asio::io_context& io, std::map<std::string, std::string> nodes)
+      : io_(io),
+        nodes_(std::move(nodes)),
+        server_(io, any_port(), {},
+                [this](Request&& request, const Responder& respond) { route(request, respond); }) {}
+
+  std::string address() const { return text_of(server_.local_endpoint()); }
+  void set_nodes(std::map<std::string, std::string> nodes) { nodes_ = std::move(nodes); }
+  std::size_t starts() const {
+    std::size_t total = returned_starts_;
+    for (const auto& [id, worker] : workers_) total += worker->starts();
+    return total;
+  }
+
+ private:
+  void route(const Request& request, const Responder& respond) {
+    if (request.target == "/catalog")
+      return respond({200,
+                      R"({"benches":[{"label":"small","cores":8,"gpus":0,"memory_gb":32,
+                          "local_gb":20,"fetch_gb_per_s":1.0,"rate":1.0,"spot_price":null,
+                          "ready_s":1,"districts":["z1"]}]})",
+                      {}});
+    if (request.target == "/rentals" && request.method == "POST") {
+      const auto body = Json::parse(request.body);
+      Json ids = Json::array();
+      for (int i = 0; i < body.at("number").get<int>() && workers_.size() < 6; ++i) {
+        const auto id = "m-" + std::to_string(100000 + ++counter_);
+        workers_[id] = std::make_unique<Worker>(io_, id, nodes_);
+        ids.push_back(id);
+      }
+      if (ids.empty()) return respond({503, R"({"error":"no capacity"})", {}});
+      return respond({200, Json{{"rigs", ids}}.dump(), {}});
+    }
+    if (request.target == "/rentals/release") {
+      for (const auto& id : Json::parse(request.body).at("rigs")) {
+        const auto found = workers_.find(id.get<std::string>());
+        if (found == workers_.end()) continue;
+        returned_starts_ += found->second->starts();
+        // The worker may be what is answering right now: it ends a moment later.
+        asio::post(io_, [old = std::shared_ptr<Worker>(std::move(found->second))] {});
+        workers_.erase(found);
+      }
+      return respond({200, "{}", {}});
+    }
+    respond({200, R"({"rigs":[],"truncated":false})", {}});
+  }
+
+  asio::io_context& io_;
+  std::map<std::string, std::string> nodes_;
+  std::map<std::string, std::unique_ptr<Worker>> workers_;
+  std::size_t returned_starts_ = 0;
+  int counter_ = 0;
+  net::HttpServer server_;
+};
+
+}  // namespace violetpulley::standins
