--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -66,7 +66,8 @@
       {"refused_rest_s", seconds(out.refused_rest, {0.5, 3600})},
       {"silent_after_s", seconds(out.silent_after, {2, 3600})},
       {"lost_after_s", seconds(out.lost_after, {3, 3600})},
-      {"spare_share", plain(out.spare_share, {0, 1})},
+      {"dear_patience_s", seconds(out.dear_patience, {0, 3600})},
+      {"dear_idle_wait_s", seconds(out.dear_idle_wait, {0, 3600})},
       {"quarantine_errors",
        [&out](const YAML::Node& node, const std::string& name) {
          out.quarantine_errors = static_cast<int>(number(node, name, {1, 1000}));
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -136,6 +136,7 @@
   Seconds time_left(const Job& job, TimePoint now) const;
   void note_narrow_types(TimePoint now);
   bool reserved_for_others(const JobSpec& spec, const std::string& type) const;
+  bool dear(const std::string& type, bool spot) const;
   void unbind(const std::vector<TaskKey>& group, const std::string& bound);
   void clear_machines(TimePoint now);
 
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kMostLeftovers = 1500;
+constexpr double kDearFactor = 1.8;
 constexpr std::chrono::minutes kNarrowRemembered{5};
 constexpr std::chrono::seconds kReservationPatience{20};
 
@@ -256,6 +257,11 @@
   return options;
 }
 
+bool Controller::dear(const std::string& type, bool spot) const {
+  const auto& prices = types_.at(type);
+  return !spot && prices.spot_price > 0 && prices.price > kDearFactor * prices.spot_price;
+}
+
 void Controller::scale(std::vector<ScalerTask> leftovers, TimePoint now) {
   // Team limits: tasks that could not start anyway must not rent machines.
   std::map<std::string, double> room;
@@ -271,7 +277,11 @@
                    [](const auto& a, const auto& b) { return a.estimate > b.estimate; });
   const auto options = rental_options(now);
   const auto may_rent = [&](const JobSpec& spec, const RentalOption& option) {
-    return !reserved_for_others(spec, option.type->name);
+    // Exception to the design: a dear kind is rented only for work that has waited, since room on
+    // a cheap machine may come first (docs/design.md, "Dear machines last").
+    const bool waited = age(jobs_.at(spec.id), now) > settings_.tuning.dear_patience;
+    return !reserved_for_others(spec, option.type->name) &&
+           (waited || !dear(option.type->name, option.spot));
   };
   std::map<OptionKey, std::vector<std::vector<TaskKey>>> chosen;
   std::map<OptionKey, double> scores;
@@ -368,7 +378,9 @@
         });
     if (only_limbo && machine.confirmed && !bound_groups_.contains(id)) {
       if (!machine.idle_since) machine.idle_since = now;
-      const bool waited = now - *machine.idle_since >= to_duration(tuning.idle_wait);
+      const bool dear_one = types_.contains(machine.type) && dear(machine.type, machine.spot);
+      const auto wait = dear_one ? tuning.dear_idle_wait : tuning.idle_wait;
+      const bool waited = now - *machine.idle_since >= to_duration(wait);
       if (waited || machine.clearing) want_release(machine, "it is idle", now);
       continue;
     }
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -169,7 +169,8 @@
   Seconds lost_after{9};
   bool bound_tasks_may_move = true;
   int quarantine_errors = 3;
-  double spare_share = 0.0;
+  Seconds dear_patience{40};
+  Seconds dear_idle_wait{10};
 };
 
 }  // namespace violetpulley::core
