--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -65,6 +65,7 @@
       {"boot_late_factor", plain(out.boot_late_factor, {1, 100})},
       {"refused_rest_s", seconds(out.refused_rest, {0.5, 3600})},
       {"silent_after_s", seconds(out.silent_after, {2, 3600})},
+      {"lost_after_takeover_s", seconds(out.lost_after_takeover, {3, 3600})},
       {"lost_after_s", seconds(out.lost_after, {3, 3600})},
       {"dear_patience_s", seconds(out.dear_patience, {0, 3600})},
       {"dear_idle_wait_s", seconds(out.dear_idle_wait, {0, 3600})},
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -322,10 +322,17 @@
       ++up;
       const auto last = machine.heard.value_or(std::max(machine.since, takeover_));
       const auto quiet = now - last;
-      if (quiet > to_duration(tuning.silent_after)) {
-        ++silent;
+      const auto silent_after = unconfirmed_.contains(id)
+                                    ? std::min(tuning.silent_after, tuning.lost_after_takeover)
+                                    : tuning.silent_after;
+      if (quiet > to_duration(silent_after)) {
+        if (quiet > to_duration(tuning.silent_after)) ++silent;
         machine.orders_due = true;
-        if (quiet > to_duration(tuning.lost_after) && heard_from_most)
+        // After a takeover no older task starts until every machine is accounted for, so one that
+        // does not answer is returned sooner.
+        const auto patience =
+            unconfirmed_.contains(id) ? tuning.lost_after_takeover : tuning.lost_after;
+        if (quiet > to_duration(patience) && heard_from_most)
           want_release(machine, "it is silent", now);
         // The lease of a machine that answers nothing has run out, and its tasks with it.
         const auto lease_end = settings_.workers.lease * 1.001 + Seconds(1);
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -167,6 +167,7 @@
   Seconds refused_rest{15};
   Seconds silent_after{7};
   Seconds lost_after{9};
+  Seconds lost_after_takeover{5};
   bool bound_tasks_may_move = true;
   int quarantine_errors = 3;
   Seconds dear_patience{40};
