Keep same_place and spread of array jobs at the start of each task

Checked in start_task against every task possibly on a machine; the simulation now submits such jobs and checks them after each step.

--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -126,6 +126,7 @@
   // controller_placing.cpp: packing, scaling, clearing
   bool placeable(const Machine& machine, TimePoint now) const;
   bool within_limit(const JobSpec& spec) const;
+  bool zone_allowed(const Job& job, const std::string& zone) const;
   Resources uncertain_use() const;
   void place(TimePoint now);
   bool start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now);
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -50,6 +50,23 @@
          (team.max_gpus <= 0 || use.gpus <= team.max_gpus + Resources::kSlack);
 }
 
+// same_zone and spread, against every task of the job that is possibly on a machine.
+bool Controller::zone_allowed(const Job& job, const std::string& zone) const {
+  const auto& spec = job.spec();
+  if (!spec.same_zone && !spec.spread) return true;
+  TaskIndex here = 0;
+  for (const auto& task : job.tasks) {
+    if (task.phase != Phase::assigned) continue;
+    const auto* machine = fleet_.find(task.machine);
+    if (machine == nullptr) continue;
+    if (machine->zone == zone)
+      ++here;
+    else if (spec.same_zone)
+      return false;
+  }
+  return !spec.spread || here + 1 <= (spec.tasks + 1) / 2;
+}
+
 // The one place where starts are made: limits and places are checked here, whatever chose them.
 bool Controller::start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now) {
   const auto& spec = job.spec();
@@ -57,7 +74,7 @@
   if (task.phase != Phase::waiting || (recovering_ && job.carried_over)) return false;
   if (!placeable(machine, now) || !spec.per_task.fits_in(machine.free())) return false;
   if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) return false;
-  if (!within_limit(spec)) return false;
+  if (!zone_allowed(job, machine.zone) || !within_limit(spec)) return false;
   const TaskKey key{spec.id, index};
   if (machine.tasks.contains(key)) return false;
   Assignment assignment;
@@ -217,7 +234,7 @@
       const bool patient = narrow_waits || now - job.opened < kReservationPatience;
       const auto may_use = [&](const Machine& m) {
         return allowed_on(spec, m.type, m.zone, m.spot) && !job.failed_on.contains(m.id) &&
-               !(patient && reserved_for_others(spec, m.type));
+               !(patient && reserved_for_others(spec, m.type)) && zone_allowed(job, m.zone);
       };
       const bool waited = now - job.opened > to_duration(longest_fetch(spec) * 0.3);
       const int least_rank = holders_only && !waited ? 1 : 0;
@@ -283,6 +300,7 @@
     const bool waited =
         !spec.spot_allowed || age(jobs_.at(spec.id), now) > settings_.tuning.dear_patience;
     return !reserved_for_others(spec, option.type->name) &&
+           zone_allowed(jobs_.at(spec.id), option.zone) &&
            (waited || !dear(option.type->name, option.spot));
   };
   std::map<OptionKey, std::vector<std::vector<TaskKey>>> chosen;
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -445,6 +445,10 @@
       if (spec.per_task.cpus < 16 && chance(0.3)) spec.zone = chance(0.5) ? "a" : "b";
       if (chance(0.2)) spec.types = {spec.per_task.cpus > 8 || chance(0.3) ? "large" : "small"};
       if (!spec.types.empty() && spec.types[0] == "large") spec.zone.reset();
+      if (spec.types.empty() && !spec.zone && spec.per_task.cpus < 16) {
+        spec.same_zone = chance(0.2);
+        spec.spread = !spec.same_zone && chance(0.2);
+      }
       spec.estimate = Seconds(between(2, 30));
       specs_[spec.id] = spec;
       JobRecord record{spec,
@@ -518,6 +522,18 @@
         }
       }
     }
+    std::map<JobId, std::map<std::string, TaskIndex>> zones;
+    for (const auto& [key, machine] : live) ++zones[key.job][workers_.at(machine).zone];
+    for (const auto& [job, counts] : zones) {
+      const auto& spec = specs_.at(job);
+      if (spec.same_zone) {
+        ASSERT_EQ(counts.size(), 1U) << "wrong_place: same zone " << job;
+      }
+      for (const auto& [zone, count] : counts)
+        if (spec.spread) {
+          ASSERT_LE(count, (spec.tasks + 1) / 2) << "wrong_place: spread " << job;
+        }
+    }
     for (const auto& team : teams_)
       ASSERT_LE(team_cpus[team.name], team.max_cpus + 1e-6) << "quota " << team.name;
   }
