Keep machines and progress in pages, so that registrations are not starved

Cause: one key a machine and one progress chunk a second for every running array asked for far more than the 25 or 30 changes a second of the state service. Ruled out: refused rentals (1,000 machines were up at 50 s).

Now records share values: about 60 machines a page, registrations before rentals before progress, one transaction of pages at a time.

The leader's processor time is the next limit.

--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -35,13 +35,14 @@
 };
 struct SaveMachine {
   MachineRecord record;
+  bool only_images = false;  // registered before: it only spares fetches after a takeover
 };
 struct DeleteMachine {
   MachineId id;
 };
 struct SaveProgress {
   ProgressRecord record;
-  std::uint64_t version = 0;
+  std::size_t tasks_in_chunk = 0;
 };
 struct FinishJob {
   JobId job;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -137,7 +137,9 @@
         continue;
       }
       job.chunks_in_flight.insert(*chunk);
-      actions_.push_back(SaveProgress{job.progress(*chunk), 0});
+      const auto first = std::size_t{*chunk} * kProgressChunk;
+      actions_.push_back(SaveProgress{
+          job.progress(*chunk), std::min<std::size_t>(kProgressChunk, job.tasks.size() - first)});
       chunk = job.chunks_dirty.erase(chunk);
     }
   }
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -10,6 +10,7 @@
 constexpr milliseconds kOrdersRetry{1000};
 constexpr std::chrono::seconds kReleaseRetry{3};
 constexpr std::chrono::seconds kRemembered{90};
+constexpr int kImagesPerPass = 20;  // their records only spare fetches after a takeover
 }  // namespace
 
 void Controller::apply_type(Machine& machine) {
@@ -27,8 +28,8 @@
   for (const auto& image : machine.images)
     if (image.present) record.images.emplace_back(image.name, image.gb);
   machine.images_changed = false;
-  machine.registering = true;
-  actions_.push_back(SaveMachine{std::move(record)});
+  machine.registering = machine.up();
+  actions_.push_back(SaveMachine{std::move(record), machine.registered});
 }
 
 void Controller::machine_saved(const MachineId& id, bool with_endpoint, bool ok) {
@@ -37,7 +38,7 @@
     if (ok) actions_.push_back(DeleteMachine{id});
     return;
   }
-  machine->registering = false;
+  if (with_endpoint) machine->registering = false;
   // A leader starts tasks only on machines whose record is committed with its endpoint: the
   // next leader must know every machine that it has to confirm.
   if (ok && with_endpoint) machine->registered = true;
@@ -311,7 +312,7 @@
   std::vector<MachineId> release;
   std::size_t up = 0;
   std::size_t silent = 0;
-  bool image_saved = false;
+  int images_saved = 0;
   for (auto& [id, machine] : fleet_.all()) {
     if (!machine.up()) {
       const auto type = types_.find(machine.type);
@@ -341,8 +342,9 @@
       }
       if (machine.quarantined && machine.tasks.empty())
         want_release(machine, "it fails the tasks it starts", now);
-      if (machine.images_changed && machine.registered && !machine.registering && !image_saved) {
-        image_saved = true;  // one a pass: it only spares fetches after a takeover
+      if (machine.images_changed && machine.registered && !machine.registering &&
+          images_saved < kImagesPerPass) {
+        ++images_saved;
         save_machine(machine);
       }
       // Starts and stops that are still open are repeated.
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -16,58 +16,94 @@
 
 constexpr milliseconds kTick{100};
 constexpr std::chrono::seconds kListEvery{5};
-const std::string kMachinePrefix = "machine/";
-const std::string kProgressPrefix = "progress/";
 
-Json ranges_to_json(const std::vector<core::IndexRange>& ranges) {
-  Json out = Json::array();
-  for (const auto& [first, last] : ranges) out.push_back({first, last});
-  return out;
-}
+// A machine's record takes at most this much of a page; images that would not fit are left out.
+constexpr std::size_t kMachineBytes = 260;
 
-std::vector<core::IndexRange> ranges_from_json(const Json& value) {
-  std::vector<core::IndexRange> out;
-  for (const auto& range : value)
-    out.emplace_back(range.at(0).get<core::TaskIndex>(), range.at(1).get<core::TaskIndex>());
-  return out;
+std::size_t page_bytes(const config::Settings& settings) {
+  // Most of the largest value; two or more pages must fit into a transaction of 64 KiB.
+  return static_cast<std::size_t>(std::min(settings.state_value_kib, 24.0) * 1024 * 0.9);
 }
 
 Json machine_to_json(const core::MachineRecord& record) {
-  Json images = Json::array();
-  for (const auto& [name, gb] : record.images) images.push_back({name, gb});
-  return {{"endpoint", record.endpoint},
-          {"type", record.type},
-          {"zone", record.zone},
-          {"spot", record.spot},
-          {"images", images}};
+  Json out{record.endpoint, record.type, record.zone, record.spot ? 1 : 0, Json::array()};
+  auto bytes = record.id.size() + out.dump().size() + 8;
+  for (const auto& [name, gb] : record.images) {
+    Json image{name, gb};
+    bytes += image.dump().size() + 1;
+    if (bytes > kMachineBytes) break;
+    out[4].push_back(std::move(image));
+  }
+  return out;
 }
 
 core::MachineRecord machine_from_json(const std::string& id, const Json& value) {
   core::MachineRecord record{id,
-                             value.at("endpoint").get<std::string>(),
-                             value.at("type").get<std::string>(),
-                             value.at("zone").get<std::string>(),
-                             value.at("spot").get<bool>(),
+                             value.at(0).get<std::string>(),
+                             value.at(1).get<std::string>(),
+                             value.at(2).get<std::string>(),
+                             value.at(3).get<int>() != 0,
                              {}};
-  for (const auto& image : value.at("images"))
+  for (const auto& image : value.at(4))
     record.images.emplace_back(image.at(0).get<std::string>(), image.at(1).get<double>());
   return record;
 }
 
-std::string progress_key(const core::JobId& job, core::TaskIndex chunk) {
-  return kProgressPrefix + job + "/" + std::to_string(chunk);
+std::string progress_name(const core::JobId& job, core::TaskIndex chunk) {
+  return job + "/" + std::to_string(chunk);
 }
 
-core::ProgressRecord progress_from_json(const std::string& key, const Json& value) {
-  const auto slash = key.rfind('/');
+// Four tasks a digit: the size is bounded, however scattered the finished tasks are.
+std::string bits_of(const std::vector<core::IndexRange>& ranges, core::TaskIndex first) {
+  std::string digits;
+  for (const auto& [from, to] : ranges)
+    for (auto i = from - first; i <= to - first; ++i) {
+      if (digits.size() <= i / 4) digits.resize(i / 4 + 1, '0');
+      auto& digit = digits[i / 4];
+      const int value = (digit <= '9' ? digit - '0' : digit - 'a' + 10) | (1 << (i % 4));
+      digit = "0123456789abcdef"[value];
+    }
+  return digits;
+}
+
+std::vector<core::IndexRange> ranges_of(const std::string& digits, core::TaskIndex first) {
+  std::vector<core::IndexRange> out;
+  for (std::size_t at = 0; at < digits.size(); ++at) {
+    const auto value = std::string_view("0123456789abcdef").find(digits[at]);
+    if (value == std::string_view::npos) throw std::invalid_argument("progress holds " + digits);
+    for (core::TaskIndex bit = 0; bit < 4; ++bit) {
+      if ((value >> bit & 1U) == 0) continue;
+      const auto index = first + static_cast<core::TaskIndex>(at) * 4 + bit;
+      if (!out.empty() && out.back().second + 1 == index)
+        out.back().second = index;
+      else
+        out.emplace_back(index, index);
+    }
+  }
+  return out;
+}
+
+Json progress_to_json(const core::ProgressRecord& record, std::size_t tasks_in_chunk) {
+  const auto first = record.chunk * core::kProgressChunk;
+  return {bits_of(record.done, first), bits_of(record.restarted, first), tasks_in_chunk};
+}
+
+core::ProgressRecord progress_from_json(const std::string& name, const Json& value) {
+  const auto slash = name.rfind('/');
+  if (slash == std::string::npos) throw std::invalid_argument("progress record " + name);
   core::ProgressRecord record;
-  record.job = key.substr(kProgressPrefix.size(), slash - kProgressPrefix.size());
-  record.chunk = static_cast<core::TaskIndex>(std::stoul(key.substr(slash + 1)));
-  record.done = ranges_from_json(value.at("done"));
-  record.restarted = ranges_from_json(value.at("restarted"));
+  record.job = name.substr(0, slash);
+  record.chunk = static_cast<core::TaskIndex>(std::stoul(name.substr(slash + 1)));
+  const auto first = record.chunk * core::kProgressChunk;
+  record.done = ranges_of(value.at(0).get<std::string>(), first);
+  record.restarted = ranges_of(value.at(1).get<std::string>(), first);
   return record;
 }
 
+std::size_t progress_bytes(const std::string& name, std::size_t tasks_in_chunk) {
+  return name.size() + 24 + (tasks_in_chunk / 4 + 1) * 2;
+}
+
 }  // namespace
 
 Leader::Leader(asio::io_context& io, const config::Settings& settings, const core::Tuning& tuning,
@@ -83,7 +119,7 @@
       cloud_(cloud),
       token_(leadership.token()),
       won_at_(Clock::now()),
-      writer_(store, token_, settings.state_changes_per_transaction),
+      writer_(store, token_, settings.state_changes_per_transaction, page_bytes(settings)),
       orders_(io, token_,
               [this, alive = alive_](const core::MachineId& id, const core::WorkerReport* report) {
                 if (!*alive || !controller_) return;
@@ -108,37 +144,53 @@
 // Every read here is sent after the key was won, so an older leader's conditioned writes are
 // either in it or will fail.
 void Leader::load() {
-  store_.list(kMachinePrefix, Urgency::safety, [this, alive = alive_](store::ListResult machines) {
-    if (!*alive) return;
-    if (machines.outcome != Outcome::ok) return load_again();
-    store_.list(kProgressPrefix, Urgency::safety,
-                [this, alive, machines = std::move(machines)](store::ListResult progress) {
+  load_pages({&writer_.machines(), &writer_.rented(), &writer_.progress()}, {});
+}
+
+void Leader::load_pages(std::vector<store::PagedRecords*> books,
+                        std::vector<std::vector<store::Item>> pages) {
+  if (pages.size() < books.size()) {
+    store_.list(books[pages.size()]->prefix(), Urgency::safety,
+                [this, alive = alive_, books, pages](store::ListResult result) mutable {
                   if (!*alive) return;
-                  if (progress.outcome != Outcome::ok) return load_again();
-                  inheritance_ = {};
-                  try {
-                    for (const auto& item : machines.items)
-                      inheritance_.machines.push_back(
-                          machine_from_json(item.key.substr(kMachinePrefix.size()), item.value));
-                    for (const auto& item : progress.items)
-                      inheritance_.progress.push_back(progress_from_json(item.key, item.value));
-                  } catch (const std::exception& problem) {
-                    spdlog::error("records of an earlier leader cannot be read: {}",
-                                  problem.what());
-                    return load_again();
-                  }
-                  mirror_.barrier(Urgency::safety, [this, alive](bool fresh) {
-                    if (!*alive) return;
-                    if (!fresh || mirror_.revision() < token_) return load_again();
-                    for (const auto& [id, record] : mirror_.jobs())
-                      inheritance_.jobs.push_back(record);
-                    election_.prove([this, alive](bool ours) {
-                      if (!*alive) return;
-                      if (!ours) return load_again();
-                      take_over();
-                    });
-                  });
+                  if (result.outcome != Outcome::ok) return load_again();
+                  pages.push_back(std::move(result.items));
+                  load_pages(std::move(books), std::move(pages));
                 });
+    return;
+  }
+  inheritance_ = {};
+  std::set<core::MachineId> known;
+  const auto machine = [&](const std::string& id, const Json& value) {
+    // A machine that came up is registered before its rental's record goes.
+    if (known.insert(id).second) inheritance_.machines.push_back(machine_from_json(id, value));
+    return kMachineBytes;
+  };
+  try {
+    for (const auto& page : pages[0]) books[0]->load(page, machine);
+    for (const auto& page : pages[1]) books[1]->load(page, machine);
+    for (const auto& page : pages[2])
+      books[2]->load(page, [&](const std::string& name, const Json& value) {
+        inheritance_.progress.push_back(progress_from_json(name, value));
+        return progress_bytes(name, value.at(2).get<std::size_t>());
+      });
+  } catch (const std::exception& problem) {
+    spdlog::error("records of an earlier leader cannot be read: {}", problem.what());
+    return load_again();
+  }
+  load_jobs();
+}
+
+void Leader::load_jobs() {
+  mirror_.barrier(Urgency::safety, [this, alive = alive_](bool fresh) {
+    if (!*alive) return;
+    if (!fresh || mirror_.revision() < token_) return load_again();
+    for (const auto& [id, record] : mirror_.jobs()) inheritance_.jobs.push_back(record);
+    election_.prove([this, alive](bool ours) {
+      if (!*alive) return;
+      if (!ours) return load_again();
+      take_over();
+    });
   });
 }
 
@@ -204,6 +256,7 @@
   controller_->tick(now, leadership_.may_serve(now));
   auto actions = controller_->take_actions();
   for (auto& action : actions) carry_out(action);
+  writer_.flush(now);
 }
 
 void Leader::job_opened(const core::JobRecord& record) {
@@ -290,25 +343,36 @@
   store::Transaction transaction{
       {{job, action.revision}, {end, 0}},
       {{job, std::nullopt, std::nullopt}, {end, Json{{"state", "done"}}, std::nullopt}}};
-  std::size_t at = 0;
-  while (at < action.chunks.size() &&
-         transaction.writes.size() < settings_.state_changes_per_transaction)
-    transaction.writes.push_back(
-        {progress_key(action.job, action.chunks[at++]), std::nullopt, std::nullopt});
-  std::vector<core::TaskIndex> rest(action.chunks.begin() + static_cast<long>(at),
-                                    action.chunks.end());
-  writer_.commit(
-      std::move(transaction), [this, id = action.job, rest](store::TransactionResult result) {
-        if (result.outcome == Outcome::ok) {
-          spdlog::info("job {} is done", id);
-          for (const auto chunk : rest)
-            writer_.write({progress_key(id, chunk), std::nullopt, std::nullopt}, nullptr);
-          mirror_.note_closed(id, result.revision);
-          return;
-        }
-        // Ended otherwise, or unknown: the mirror tells, and until then it is tried again.
-        controller_->finish_answered(id, Clock::now() + milliseconds(700));
-      });
+  writer_.commit(std::move(transaction), [this, action](store::TransactionResult result) {
+    if (result.outcome == Outcome::ok) {
+      spdlog::info("job {} is done", action.job);
+      forget_progress(action.job, action.chunks);
+      mirror_.note_closed(action.job, result.revision);
+      return;
+    }
+    // Ended otherwise, or unknown: the mirror tells, and until then it is tried again.
+    controller_->finish_answered(action.job, Clock::now() + milliseconds(700));
+  });
+}
+
+void Leader::forget_progress(const core::JobId& job, const std::vector<core::TaskIndex>& chunks) {
+  for (const auto chunk : chunks) writer_.progress().erase(progress_name(job, chunk), Clock::now());
+}
+
+void Leader::save_machine(const core::SaveMachine& action) {
+  const auto now = Clock::now();
+  const auto& record = action.record;
+  const bool up = !record.endpoint.empty();
+  auto& book = up ? writer_.machines() : writer_.rented();
+  const auto haste = up && !action.only_images ? store::Haste::soon : store::Haste::lazy;
+  book.put(record.id, machine_to_json(record), kMachineBytes, haste, now,
+           [this, id = record.id, up] {
+             // Only now: until its registration is committed, the rental's record tells of the
+             // machine.
+             if (up) writer_.rented().erase(id, Clock::now());
+             controller_->machine_saved(id, up, true);
+             pump_soon();
+           });
 }
 
 void Leader::carry_out(core::Action& action) {
@@ -316,24 +380,21 @@
     if constexpr (std::is_same_v<T, core::SendOrders>) {
       orders_.send(a);
     } else if constexpr (std::is_same_v<T, core::SaveMachine>) {
-      writer_.write({kMachinePrefix + a.record.id, machine_to_json(a.record), std::nullopt},
-                    [this, id = a.record.id, up = !a.record.endpoint.empty()](bool ok) {
-                      controller_->machine_saved(id, up, ok);
-                      pump_soon();
-                    });
+      save_machine(a);
     } else if constexpr (std::is_same_v<T, core::DeleteMachine>) {
       orders_.drop(a.id);
-      writer_.write({kMachinePrefix + a.id, std::nullopt, std::nullopt}, nullptr);
+      writer_.machines().erase(a.id, Clock::now());
+      writer_.rented().erase(a.id, Clock::now());
     } else if constexpr (std::is_same_v<T, core::SaveProgress>) {
-      Json value{{"done", ranges_to_json(a.record.done)},
-                 {"restarted", ranges_to_json(a.record.restarted)}};
-      writer_.write({progress_key(a.record.job, a.record.chunk), std::move(value), std::nullopt},
-                    [this, saved = a](bool ok) { controller_->progress_saved(saved, ok); });
+      const auto name = progress_name(a.record.job, a.record.chunk);
+      writer_.progress().put(name, progress_to_json(a.record, a.tasks_in_chunk),
+                             progress_bytes(name, a.tasks_in_chunk), store::Haste::lazy,
+                             Clock::now(),
+                             [this, saved = a] { controller_->progress_saved(saved, true); });
     } else if constexpr (std::is_same_v<T, core::FinishJob>) {
       finish(a);
     } else if constexpr (std::is_same_v<T, core::DeleteProgress>) {
-      for (const auto chunk : a.chunks)
-        writer_.write({progress_key(a.job, chunk), std::nullopt, std::nullopt}, nullptr);
+      forget_progress(a.job, a.chunks);
     } else if constexpr (std::is_same_v<T, core::Rent>) {
       spdlog::info("renting {} {} {} in {} ({})", a.count, a.spot ? "spot" : "ordinary", a.type,
                    a.zone, a.name);
--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -31,6 +31,9 @@
 
  private:
   void load();
+  void load_pages(std::vector<store::PagedRecords*> books,
+                  std::vector<std::vector<store::Item>> pages);
+  void load_jobs();
   void load_again();
   void take_over();
   void pump_soon();
@@ -40,6 +43,8 @@
   void verify_jobs();
   void list_machines();
   void finish(const core::FinishJob& action);
+  void forget_progress(const core::JobId& job, const std::vector<core::TaskIndex>& chunks);
+  void save_machine(const core::SaveMachine& action);
 
   // First: the callbacks of the members below hold it.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/store/leader_writer.cpp
+++ b/src/store/leader_writer.cpp
@@ -1,11 +1,28 @@
 #include "store/leader_writer.hpp"
 
+#include <spdlog/spdlog.h>
+
 namespace violetpulley::store {
 
-void LeaderWriter::write(Write change, std::function<void(bool)> done) {
-  queue_.push_back({std::move(change), std::move(done)});
-  flush();
-}
+using core::Clock;
+using std::chrono::milliseconds;
+
+namespace {
+// A transaction holds 64 KiB altogether; names, conditions and quotes take their part.
+constexpr std::size_t kMostBytes = 52 * 1024;
+// Between two transactions of pages, so that what comes up together is written together.
+constexpr milliseconds kFlushGap{200};
+constexpr milliseconds kRetryGap{300};
+}  // namespace
+
+LeaderWriter::LeaderWriter(StoreClient& store, core::Token token, std::size_t max_changes,
+                           std::size_t page_bytes)
+    : store_(store),
+      token_(token),
+      max_changes_(max_changes),
+      machines_("machines/", page_bytes, milliseconds(2000)),
+      rented_("rented/", page_bytes, milliseconds(700)),
+      progress_("progress/", page_bytes, milliseconds(1500)) {}
 
 void LeaderWriter::commit(Transaction transaction, std::function<void(TransactionResult)> done) {
   transaction.conditions.push_back({"leader", token_});
@@ -15,30 +32,56 @@
                 });
 }
 
-void LeaderWriter::flush() {
-  if (in_flight_ || queue_.empty()) return;
-  in_flight_ = true;
+void LeaderWriter::flush(core::TimePoint now) {
+  if (in_flight_ || rereading_ > 0 || now < next_flush_) return;
+  Batches batches;
   Transaction transaction;
-  std::vector<std::function<void(bool)>> callbacks;
-  std::set<std::string> keys;
   std::size_t bytes = 0;
-  // One write per key in a transaction: a second waits for the next one.
-  while (!queue_.empty() && transaction.writes.size() < max_changes_ &&
-         !keys.contains(queue_.front().change.key) && bytes < 40 * 1024) {
-    auto& next = queue_.front();
-    keys.insert(next.change.key);
-    if (next.change.value) bytes += next.change.value->dump().size();
-    transaction.writes.push_back(std::move(next.change));
-    callbacks.push_back(std::move(next.done));
-    queue_.pop_front();
+  for (std::size_t i = 0; i < kBooks; ++i) {
+    if (transaction.writes.size() >= max_changes_ || bytes >= kMostBytes) break;
+    auto& batch = batches[i];
+    books()[i]->take(now, max_changes_ - transaction.writes.size(), kMostBytes - bytes, batch);
+    bytes += batch.bytes;
+    for (auto& condition : batch.conditions) transaction.conditions.push_back(condition);
+    for (auto& write : batch.writes) transaction.writes.push_back(std::move(write));
   }
+  if (transaction.writes.empty()) return;
+  in_flight_ = true;
   commit(std::move(transaction),
-         [this, callbacks = std::move(callbacks)](TransactionResult result) {
+         [this, batches = std::move(batches)](TransactionResult result) mutable {
            in_flight_ = false;
-           for (const auto& done : callbacks)
-             if (done) done(result.outcome == Outcome::ok);
-           flush();
+           flushed(batches, result);
          });
 }
 
+void LeaderWriter::flushed(Batches& batches, const TransactionResult& result) {
+  const auto now = Clock::now();
+  const bool ok = result.outcome == Outcome::ok;
+  next_flush_ = now + (ok ? kFlushGap : kRetryGap);
+  for (std::size_t i = 0; i < kBooks; ++i) {
+    if (ok)
+      books()[i]->committed(batches[i], result.revision);
+    else
+      books()[i]->failed(batches[i], now);
+  }
+  // An unanswered write of ours was applied after all: read what revision it left.
+  if (result.outcome == Outcome::conflict)
+    for (const auto& key : result.failed)
+      if (key != "leader") reread(key);
+}
+
+void LeaderWriter::reread(const std::string& key) {
+  spdlog::info("the page {} was changed by a late write; reading it again", key);
+  ++rereading_;
+  store_.get(key, Urgency::safety, [this, key, alive = alive_](GetResult result) {
+    if (!*alive) return;
+    --rereading_;
+    // Without an answer the next write fails on the same condition and it is read once more.
+    if (result.outcome != Outcome::ok && result.outcome != Outcome::not_found) return;
+    const auto revision = result.outcome == Outcome::ok ? result.item.revision : 0;
+    for (auto* book : books())
+      if (key.starts_with(book->prefix())) book->reread(key, revision);
+  });
+}
+
 }  // namespace violetpulley::store
--- a/src/store/leader_writer.hpp
+++ b/src/store/leader_writer.hpp
@@ -1,37 +1,48 @@
-// The leader's writes: coalesced into transactions, each conditioned on the leader key, so that a
-// late one of a past leader fails.
+// The leader's writes, each conditioned on the leader key, so that a late one of a past leader
+// fails. Machines and progress are kept in pages; at most one transaction of pages is under way.
 #pragma once
 
-#include <deque>
+#include <array>
 
-#include "store/store_client.hpp"
+#include "store/paged_records.hpp"
 
 namespace violetpulley::store {
 
 class LeaderWriter {
  public:
-  LeaderWriter(StoreClient& store, core::Token token, std::size_t max_changes)
-      : store_(store), token_(token), max_changes_(max_changes) {}
+  LeaderWriter(StoreClient& store, core::Token token, std::size_t max_changes,
+               std::size_t page_bytes);
   ~LeaderWriter() { *alive_ = false; }
   LeaderWriter(const LeaderWriter&) = delete;
   LeaderWriter& operator=(const LeaderWriter&) = delete;
 
-  void write(Write change, std::function<void(bool)> done);
+  // In the order of their urgency: a start waits for a machine's record, while progress may be
+  // late, since only repeated work is at stake.
+  PagedRecords& machines() { return machines_; }
+  PagedRecords& rented() { return rented_; }
+  PagedRecords& progress() { return progress_; }
+
+  // Writes the pages that are due.
+  void flush(core::TimePoint now);
   // A transaction of its own, with further conditions.
   void commit(Transaction transaction, std::function<void(TransactionResult)> done);
 
  private:
-  struct Pending {
-    Write change;
-    std::function<void(bool)> done;
-  };
-  void flush();
+  static constexpr std::size_t kBooks = 3;
+  using Batches = std::array<PagedRecords::Batch, kBooks>;
+  std::array<PagedRecords*, kBooks> books() { return {&machines_, &rented_, &progress_}; }
+  void flushed(Batches& batches, const TransactionResult& result);
+  void reread(const std::string& key);
 
   StoreClient& store_;
   core::Token token_;
   std::size_t max_changes_;
-  std::deque<Pending> queue_;
+  PagedRecords machines_;
+  PagedRecords rented_;
+  PagedRecords progress_;
   bool in_flight_ = false;
+  int rereading_ = 0;
+  core::TimePoint next_flush_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/src/store/paged_records.cpp
@@ -0,0 +1,116 @@
+#include "store/paged_records.hpp"
+
+#include <charconv>
+#include <iterator>
+#include <stdexcept>
+#include <utility>
+
+namespace violetpulley::store {
+
+namespace {
+constexpr std::size_t kEnvelope = 64;  // name, condition and punctuation of one write
+}
+
+void PagedRecords::load(const Item& item,
+                        const std::function<std::size_t(const std::string&, const Json&)>& each) {
+  int number = -1;
+  const auto* end = item.key.data() + item.key.size();
+  const auto [stop, error] = std::from_chars(item.key.data() + prefix_.size(), end, number);
+  if (error != std::errc() || stop != end || number < 0)
+    throw std::invalid_argument("page name " + item.key);
+  auto& page = pages_[number];
+  page.revision = item.revision;
+  for (const auto& [id, value] : item.value.items()) {
+    const auto reserve = each(id, value);
+    if (!page_of_.emplace(id, number).second) continue;  // read once more
+    page.records[id] = {value, reserve};
+    page.reserved += reserve;
+  }
+}
+
+void PagedRecords::mark(Page& page, Haste haste, core::TimePoint now) {
+  if (!page.dirty_since) page.dirty_since = now;
+  if (haste == Haste::soon) page.soon = true;
+}
+
+PagedRecords::Page& PagedRecords::page_with_room(std::size_t reserve, int& number) {
+  number = 0;
+  for (auto& [at, page] : pages_) {
+    if (page.reserved + reserve <= page_bytes_) {
+      number = at;
+      return page;
+    }
+    number = at + 1;
+  }
+  return pages_[number];
+}
+
+void PagedRecords::put(const std::string& id, Json value, std::size_t reserve, Haste haste,
+                       core::TimePoint now, Done done) {
+  const auto known = page_of_.find(id);
+  Page* page = nullptr;
+  if (known != page_of_.end()) {
+    page = &pages_.at(known->second);
+    page->records.at(id).value = std::move(value);
+  } else {
+    int number = 0;
+    page = &page_with_room(reserve, number);
+    page_of_[id] = number;
+    page->records[id] = {std::move(value), reserve};
+    page->reserved += reserve;
+  }
+  if (done) page->waiting.push_back(std::move(done));
+  mark(*page, haste, now);
+}
+
+void PagedRecords::erase(const std::string& id, core::TimePoint now) {
+  const auto known = page_of_.find(id);
+  if (known == page_of_.end()) return;
+  auto& page = pages_.at(known->second);
+  const auto record = page.records.find(id);
+  page.reserved -= record->second.reserve;
+  page.records.erase(record);
+  page_of_.erase(known);
+  mark(page, Haste::lazy, now);
+}
+
+void PagedRecords::take(core::TimePoint now, std::size_t most_writes, std::size_t most_bytes,
+                        Batch& batch) {
+  for (const bool soon : {true, false})
+    for (auto& [number, page] : pages_) {
+      if (!page.dirty_since || page.soon != soon) continue;
+      if (!soon && now - *page.dirty_since < lazy_wait_) continue;
+      if (batch.writes.size() >= most_writes) return;
+      if (batch.bytes + page.reserved + kEnvelope > most_bytes) return;
+      Json value = Json::object();
+      for (const auto& [id, record] : page.records) value[id] = record.value;
+      const auto key = prefix_ + std::to_string(number);
+      batch.bytes += page.reserved + kEnvelope;
+      batch.conditions.push_back({key, page.revision});
+      batch.writes.push_back({key, std::move(value), std::nullopt});
+      batch.pages.push_back({number, soon, std::exchange(page.waiting, {})});
+      page.soon = false;
+      page.dirty_since.reset();
+    }
+}
+
+void PagedRecords::committed(const Batch& batch, Revision revision) {
+  for (const auto& taken : batch.pages) pages_.at(taken.page).revision = revision;
+  for (const auto& taken : batch.pages)
+    for (const auto& done : taken.done) done();
+}
+
+void PagedRecords::failed(Batch& batch, core::TimePoint now) {
+  for (auto& taken : batch.pages) {
+    auto& page = pages_.at(taken.page);
+    mark(page, taken.soon ? Haste::soon : Haste::lazy, now);
+    std::move(taken.done.begin(), taken.done.end(), std::back_inserter(page.waiting));
+  }
+}
+
+void PagedRecords::reread(const std::string& key, Revision revision) {
+  for (auto& [number, page] : pages_)
+    if (prefix_ + std::to_string(number) == key) page.revision = revision;
+}
+
+}  // namespace violetpulley::store
--- /dev/null
+++ b/tests/pages_test.cpp
@@ -0,0 +1,115 @@
+// Records in pages: few changes for many machines, and no committed record lost to a late write.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "store/paged_records.hpp"
+
+namespace violetpulley::store {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A key-value store that may apply a transaction late, or not tell what it did.
+struct Keys {
+  struct Entry {
+    Json value;
+    Revision revision = 0;
+  };
+  std::map<std::string, Entry> entries;
+  Revision revision = 100;
+
+  // The revision of the commit, or nothing on a conflict.
+  std::optional<Revision> apply(const PagedRecords::Batch& batch) {
+    for (const auto& condition : batch.conditions)
+      if (entries[condition.key].revision != condition.revision) return std::nullopt;
+    ++revision;
+    for (const auto& write : batch.writes) entries[write.key] = {*write.value, revision};
+    return revision;
+  }
+};
+
+TEST(Pages, AWaveOfMachinesTakesFewChanges) {
+  core::TimePoint now{};
+  PagedRecords records("machines/", 14000, milliseconds(2000));
+  int saved = 0;
+  for (int i = 0; i < 1000; ++i)
+    records.put("m-" + std::to_string(i), Json{"10.0.0.1:1"}, 250, Haste::soon, now,
+                [&] { ++saved; });
+  Keys keys;
+  std::size_t changes = 0;
+  for (int i = 0; i < 100 && saved < 1000; ++i) {
+    PagedRecords::Batch batch;
+    records.take(now, 12, 52 * 1024, batch);
+    changes += batch.writes.size();
+    for (const auto& write : batch.writes) EXPECT_LE(write.value->dump().size(), 16U * 1024);
+    records.committed(batch, *keys.apply(batch));
+  }
+  EXPECT_EQ(saved, 1000);
+  EXPECT_LE(changes, 20U);
+}
+
+TEST(Pages, EveryRecordToldCommittedIsStored) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto chance = [&](int percent) {
+      return std::uniform_int_distribution<int>(1, 100)(random) <= percent;
+    };
+    core::TimePoint now{};
+    PagedRecords records("p/", 600, milliseconds(500));
+    Keys keys;
+    std::set<std::string> told;  // committed, as far as the owner knows, and not erased
+    std::vector<PagedRecords::Batch> held;
+    int next = 0;
+    for (int step = 0; step < 400; ++step) {
+      now += milliseconds(100);
+      const bool troubles = step < 300;
+      if (troubles && chance(70)) {
+        const auto id = std::to_string(next++);
+        records.put(id, Json{next}, 60, chance(50) ? Haste::soon : Haste::lazy, now,
+                    [&told, id] { told.insert(id); });
+      }
+      if (!told.empty() && step < 370 && chance(20)) {
+        records.erase(*told.begin(), now);
+        told.erase(told.begin());
+      }
+      // A held transaction arrives at last: it must not take a committed record away.
+      if (!held.empty() && chance(30)) {
+        keys.apply(held.front());
+        held.erase(held.begin());
+      }
+      PagedRecords::Batch batch;
+      records.take(now, 3, 10000, batch);
+      if (!batch.writes.empty()) {
+        if (troubles && chance(30)) {
+          held.push_back(batch);
+          if (chance(50)) keys.apply(batch);
+          records.failed(batch, now);
+        } else if (const auto revision = keys.apply(batch)) {
+          records.committed(batch, *revision);
+        } else {
+          records.failed(batch, now);
+          for (const auto& condition : batch.conditions)
+            records.reread(condition.key, keys.entries[condition.key].revision);
+        }
+      }
+      for (const auto& id : told) {
+        bool stored = false;
+        for (const auto& [key, entry] : keys.entries) stored |= entry.value.contains(id);
+        ASSERT_TRUE(stored) << id << " was told committed and is not stored, seed " << seed;
+      }
+    }
+    PagedRecords again("p/", 600, milliseconds(500));
+    std::set<std::string> loaded;
+    for (const auto& [key, entry] : keys.entries)
+      if (entry.revision != 0)
+        again.load({key, entry.value, entry.revision}, [&](const std::string& id, const Json&) {
+          loaded.insert(id);
+          return std::size_t{60};
+        });
+    EXPECT_EQ(loaded, told) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace violetpulley::store
