--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -39,7 +39,7 @@
         for (TaskIndex i = first; i <= last && i < job.tasks.size(); ++i) apply(i);
     };
     each(progress.done, [&](TaskIndex i) {
-      job.set_done(i);
+      task_done(job, i);
       job.tasks[i].persisted = true;
     });
     each(progress.restarted, [&](TaskIndex i) { job.tasks[i].restarted = true; });
@@ -55,7 +55,7 @@
     if (machine.up()) {
       machine.registered = true;
       machine.up_since = now;
-      machine.orders_due = true;
+      want_orders(machine);
       unconfirmed_.insert(record.id);
     }
   }
@@ -95,25 +95,49 @@
     chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
     if (!job.finishing) actions_.push_back(DeleteProgress{id, {chunks.begin(), chunks.end()}});
   }
+  progress_dirty_.erase(id);
+  complete_.erase(id);
   jobs_.erase(found);
   placing_wanted_ = true;
 }
 
-void Controller::task_lost(const TaskKey& key, const char* /*cause*/) {
+// The assignment ends: nothing of it is on the machine any more.
+void Controller::drop(Machine& machine, const TaskKey& key) {
+  const auto assignment = machine.tasks.find(key);
+  if (assignment == machine.tasks.end()) return;
+  if (assignment->second.running_since && !assignment->second.abandoned) {
+    const auto job = jobs_.find(key.job);
+    if (job != jobs_.end() && job->second.running > 0) --job->second.running;
+  }
+  fleet_.unassign(machine, key);
+}
+
+void Controller::progress_changed(Job& job, TaskIndex index) {
+  job.chunks_dirty.insert(index / kProgressChunk);
+  progress_dirty_.insert(job.spec().id);
+}
+
+void Controller::task_done(Job& job, TaskIndex index) {
+  job.set_done(index);
+  if (job.complete()) complete_.insert(job.spec().id);
+}
+
+void Controller::task_lost(const TaskKey& key) {
   const auto found = jobs_.find(key.job);
   if (found == jobs_.end() || key.index >= found->second.tasks.size()) return;
   found->second.set_waiting(key.index);
   placing_wanted_ = true;
 }
 
-void Controller::lose_all(Machine& machine, const char* cause) {
+void Controller::lose_all(Machine& machine) {
   while (!machine.tasks.empty()) {
     const auto key = machine.tasks.begin()->first;
     const bool abandoned = machine.tasks.begin()->second.abandoned;
-    fleet_.unassign(machine, key);
-    if (!abandoned) task_lost(key, cause);
+    drop(machine, key);
+    if (!abandoned) task_lost(key);
   }
   machine.reported.clear();
+  note_foreign(machine);
 }
 
 // Until every machine registered at the takeover is accounted for, tasks of older jobs that were
@@ -129,8 +153,13 @@
 void Controller::persist(TimePoint now) {
   if (now - last_persist_ < kPersistEvery) return;
   last_persist_ = now;
-  for (auto& [id, job] : jobs_) {
-    if (job.complete()) continue;  // its end is written instead
+  for (auto entry = progress_dirty_.begin(); entry != progress_dirty_.end();) {
+    const auto found = jobs_.find(*entry);
+    if (found == jobs_.end() || found->second.complete()) {  // its end is written instead
+      entry = progress_dirty_.erase(entry);
+      continue;
+    }
+    auto& job = found->second;
     for (auto chunk = job.chunks_dirty.begin(); chunk != job.chunks_dirty.end();) {
       if (job.chunks_in_flight.contains(*chunk)) {
         ++chunk;
@@ -142,6 +171,7 @@
           job.progress(*chunk), std::min<std::size_t>(kProgressChunk, job.tasks.size() - first)});
       chunk = job.chunks_dirty.erase(chunk);
     }
+    entry = job.chunks_dirty.empty() ? progress_dirty_.erase(entry) : std::next(entry);
   }
 }
 
@@ -155,7 +185,7 @@
   job.chunks_in_flight.erase(saved.record.chunk);
   job.chunks_stored.insert(saved.record.chunk);
   if (!ok) {
-    job.chunks_dirty.insert(saved.record.chunk);
+    progress_changed(job, saved.record.chunk * kProgressChunk);
     return;
   }
   for (const auto& [first, last] : saved.record.done)
@@ -169,6 +199,17 @@
   found->second.finish_retry = retry;
 }
 
+void Controller::finish_complete(TimePoint now) {
+  for (const auto& id : complete_) {
+    auto& job = jobs_.at(id);
+    if (job.finishing || now < job.finish_retry) continue;
+    job.finishing = true;
+    auto chunks = job.chunks_stored;
+    chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
+    actions_.push_back(FinishJob{id, job.record.revision, {chunks.begin(), chunks.end()}});
+  }
+}
+
 void Controller::tick(TimePoint now, bool may_place) {
   check_recovered(now);
   if (now - last_watch_ >= kWatchEvery) {
@@ -184,13 +225,7 @@
     placing_wanted_ = false;
     place(now);
   }
-  for (auto& [id, job] : jobs_) {
-    if (!job.complete() || job.finishing || now < job.finish_retry) continue;
-    job.finishing = true;
-    auto chunks = job.chunks_stored;
-    chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
-    actions_.push_back(FinishJob{id, job.record.revision, {chunks.begin(), chunks.end()}});
-  }
+  finish_complete(now);
   persist(now);
   send_orders(now);
 }
@@ -198,17 +233,7 @@
 std::optional<JobCounts> Controller::counts(const JobId& id) const {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return std::nullopt;
-  JobCounts counts;
-  counts.done = found->second.done;
-  for (TaskIndex i = 0; i < found->second.tasks.size(); ++i) {
-    const auto& task = found->second.tasks[i];
-    if (task.phase != Phase::assigned) continue;
-    const auto* machine = fleet_.find(task.machine);
-    if (machine == nullptr) continue;
-    const auto assignment = machine->tasks.find({id, i});
-    if (assignment != machine->tasks.end() && assignment->second.running_since) ++counts.running;
-  }
-  return counts;
+  return JobCounts{found->second.done, found->second.running};
 }
 
 std::string Controller::summary() const {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -105,17 +105,24 @@
   // controller.cpp: jobs and recovery
   void check_recovered(TimePoint now);
   void persist(TimePoint now);
-  void task_lost(const TaskKey& key, const char* cause);
-  void lose_all(Machine& machine, const char* cause);
+  void task_lost(const TaskKey& key);
+  void lose_all(Machine& machine);
+  void drop(Machine& machine, const TaskKey& key);
+  void task_done(Job& job, TaskIndex index);
+  void progress_changed(Job& job, TaskIndex index);
+  void finish_complete(TimePoint now);
 
   // controller_reports.cpp: machines
   void absorb_task(Machine& machine, const TaskReport& entry, TimePoint now);
   void absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now);
-  void task_failed(Machine& machine, Job& job, TaskIndex index, TimePoint now);
+  void task_failed(Machine& machine, Job& job, TimePoint now);
+  void note_foreign(Machine& machine);
   void adopt(Machine& machine, const TaskReport& entry, TimePoint now);
   bool forgettable(const Machine& machine, const TaskReport& entry) const;
   std::vector<Command> commands_for(const Machine& machine, bool with_starts) const;
+  void want_orders(Machine& machine);
   void send_orders(TimePoint now);
+  void runs_now(Assignment& assignment, Job* job, TimePoint now);
   void stop_task(Machine& machine, Assignment& assignment, TimePoint now);
   void apply_type(Machine& machine);
   void save_machine(Machine& machine);
@@ -126,17 +133,24 @@
   // controller_placing.cpp: packing, scaling, clearing
   bool placeable(const Machine& machine, TimePoint now) const;
   bool within_limit(const JobSpec& spec) const;
-  bool zone_allowed(const Job& job, const std::string& zone) const;
+  using ZoneUse = std::map<std::string, TaskIndex>;
+  ZoneUse zone_use(const Job& job) const;
   Resources uncertain_use() const;
+  struct Candidate;
+  std::vector<Candidate> waiting_jobs(TimePoint now);
   void place(TimePoint now);
+  void place_bound(Packer& packer, TimePoint now);
+  void place_job(Packer& packer, const Candidate& candidate, bool holders_only, TimePoint now);
   bool start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now);
-  void scale(std::vector<ScalerTask> leftovers, TimePoint now);
+  std::vector<ScalerJob> leftovers(const std::vector<Candidate>& queue) const;
+  void scale(std::vector<ScalerJob> leftovers, TimePoint now);
   std::vector<RentalOption> rental_options(TimePoint now) const;
   Seconds longest_fetch(const JobSpec& spec) const;
   Seconds age(const Job& job, TimePoint now) const;
   Seconds time_left(const Job& job, TimePoint now) const;
   void note_narrow_types(TimePoint now);
   bool reserved_for_others(const JobSpec& spec, const std::string& type) const;
+  std::vector<std::string> types_for_others(const JobSpec& spec) const;
   bool dear(const std::string& type, bool spot) const;
   void unbind(const std::vector<TaskKey>& group, const std::string& bound);
   void clear_machines(TimePoint now);
@@ -149,10 +163,16 @@
   TimePoint older_leases_end_;
   bool recovering_ = true;
   Resources uncertain_;
+  bool narrow_waits_ = false;  // some waiting task does not fit every type
   std::set<MachineId> unconfirmed_;
+  std::set<MachineId> foreign_;  // machines that list tasks of jobs that are unknown here
 
   std::unordered_map<JobId, Job> jobs_;
   Fleet fleet_;
+  // What is due, so that an event costs what it changes and not a look at everything.
+  std::set<MachineId> orders_due_;
+  std::set<JobId> progress_dirty_;
+  std::set<JobId> complete_;
   Estimator estimator_;
   std::map<std::string, MachineType> types_;
   std::map<std::string, Team> teams_;
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -1,16 +1,18 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 #include "core/clearing.hpp"
 #include "core/controller.hpp"
+#include "core/prices.hpp"
 
 namespace violetpulley::core {
 
 namespace {
 
 constexpr std::size_t kMostLeftovers = 1500;
-constexpr double kDearFactor = 1.8;
+constexpr std::size_t kMostMachinesPerRental = 50;  // PROTOCOL, POST /rentals
 constexpr std::chrono::minutes kNarrowRemembered{5};
 constexpr std::chrono::seconds kReservationPatience{20};
 
@@ -30,13 +32,11 @@
 // it holds; the same while one lists tasks whose job has ended and whose team is unknown.
 Resources Controller::uncertain_use() const {
   Resources total;
-  for (const auto& [id, machine] : fleet_.all()) {
-    const bool foreign =
-        std::any_of(machine.reported.begin(), machine.reported.end(), [&](const TaskReport& entry) {
-          return entry.state != TaskState::exited && !machine.tasks.contains(entry.task);
-        });
-    if (foreign || unconfirmed_.contains(id)) total += machine.capacity;
-  }
+  for (const auto& id : foreign_)
+    if (const auto* machine = fleet_.find(id)) total += machine->capacity;
+  for (const auto& id : unconfirmed_)
+    if (const auto* machine = fleet_.find(id); machine != nullptr && !foreign_.contains(id))
+      total += machine->capacity;
   return total;
 }
 
@@ -50,23 +50,29 @@
          (team.max_gpus <= 0 || use.gpus <= team.max_gpus + Resources::kSlack);
 }
 
-// same_zone and spread, against every task of the job that is possibly on a machine.
-bool Controller::zone_allowed(const Job& job, const std::string& zone) const {
-  const auto& spec = job.spec();
-  if (!spec.same_zone && !spec.spread) return true;
-  TaskIndex here = 0;
+// Where every task of the job possibly is, for same_zone and spread; empty for other jobs.
+Controller::ZoneUse Controller::zone_use(const Job& job) const {
+  ZoneUse use;
+  if (!job.spec().same_zone && !job.spec().spread) return use;
   for (const auto& task : job.tasks) {
     if (task.phase != Phase::assigned) continue;
-    const auto* machine = fleet_.find(task.machine);
-    if (machine == nullptr) continue;
-    if (machine->zone == zone)
-      ++here;
-    else if (spec.same_zone)
-      return false;
+    if (const auto* machine = fleet_.find(task.machine)) ++use[machine->zone];
   }
+  return use;
+}
+
+namespace {
+
+bool zone_allowed(const JobSpec& spec, const std::map<std::string, TaskIndex>& use,
+                  const std::string& zone) {
+  const auto found = use.find(zone);
+  const TaskIndex here = found == use.end() ? 0 : found->second;
+  if (spec.same_zone) return use.empty() || (use.size() == 1 && here > 0);
   return !spec.spread || here + 1 <= (spec.tasks + 1) / 2;
 }
 
+}  // namespace
+
 // The one place where starts are made: limits and places are checked here, whatever chose them.
 bool Controller::start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now) {
   const auto& spec = job.spec();
@@ -74,7 +80,7 @@
   if (task.phase != Phase::waiting || (recovering_ && job.carried_over)) return false;
   if (!placeable(machine, now) || !spec.per_task.fits_in(machine.free())) return false;
   if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) return false;
-  if (!zone_allowed(job, machine.zone) || !within_limit(spec)) return false;
+  if (!zone_allowed(spec, zone_use(job), machine.zone) || !within_limit(spec)) return false;
   const TaskKey key{spec.id, index};
   if (machine.tasks.contains(key)) return false;
   Assignment assignment;
@@ -91,7 +97,7 @@
   fleet_.assign(machine, key, std::move(assignment));
   job.set_assigned(index, machine.id);
   machine.idle_since.reset();
-  machine.orders_due = true;
+  want_orders(machine);
   return true;
 }
 
@@ -127,13 +133,16 @@
 // Exception to the design: types that some jobs' tasks cannot do without are left to those by tasks
 // that fit another type (docs/design.md, "Scarce types").
 void Controller::note_narrow_types(TimePoint now) {
-  for (const auto& [id, job] : jobs_) {
-    std::vector<const std::string*> fitting;
-    for (const auto& [name, type] : types_)
-      if (job.spec().per_task.fits_in(type.capacity)) fitting.push_back(&name);
-    if (fitting.empty() || fitting.size() == types_.size()) continue;
-    for (const auto* name : fitting) narrow_types_[*name] = now;
-  }
+  if (types_.size() > 1)
+    for (const auto& [id, job] : jobs_) {
+      const auto fits = [&](const auto& entry) {
+        return job.spec().per_task.fits_in(entry.second.capacity);
+      };
+      const auto fitting = std::count_if(types_.begin(), types_.end(), fits);
+      if (fitting == 0 || static_cast<std::size_t>(fitting) == types_.size()) continue;
+      for (const auto& entry : types_)
+        if (fits(entry)) narrow_types_[entry.first] = now;
+    }
   std::erase_if(narrow_types_,
                 [&](const auto& entry) { return now - entry.second > kNarrowRemembered; });
 }
@@ -147,18 +156,23 @@
   });
 }
 
-void Controller::place(TimePoint now) {
-  if (types_.empty()) return;
-  uncertain_ = uncertain_use();
-  note_narrow_types(now);
-  struct Candidate {
-    Job* job;
-    Seconds estimate;
-    bool guaranteed;
-    bool hopeless;  // no deadline or aim is left to meet
-    double work;    // of its waiting tasks
-  };
-  std::vector<Candidate> queue;
+std::vector<std::string> Controller::types_for_others(const JobSpec& spec) const {
+  std::vector<std::string> types;
+  for (const auto& [name, since] : narrow_types_)
+    if (reserved_for_others(spec, name)) types.push_back(name);
+  return types;
+}
+
+struct Controller::Candidate {
+  Job* job;
+  Seconds estimate;
+  bool guaranteed;
+  bool hopeless;  // no deadline or aim is left to meet
+  double work;    // of its waiting tasks
+};
+
+// The jobs with waiting tasks, in the order in which room goes to them.
+std::vector<Controller::Candidate> Controller::waiting_jobs(TimePoint now) {
   std::vector<Job*> by_age;
   for (auto& [id, job] : jobs_) {
     if (job.waiting.empty() || now < job.backoff_until) continue;
@@ -166,22 +180,22 @@
     by_age.push_back(&job);
   }
   std::sort(by_age.begin(), by_age.end(), [](const Job* a, const Job* b) {
-    return std::pair(a->record.submitted, a->spec().id) <
-           std::pair(b->record.submitted, b->spec().id);
+    return std::tie(a->record.submitted, a->spec().id) <
+           std::tie(b->record.submitted, b->spec().id);
   });
+  std::vector<Candidate> queue;
   std::map<std::string, double> claimed;
   for (auto* job : by_age) {
     const auto& spec = job->spec();
     const auto team = teams_.find(spec.team);
     auto& claim = claimed.try_emplace(spec.team, fleet_.team_use(spec.team).cpus).first->second;
-    claim += spec.per_task.cpus * static_cast<double>(job->waiting.size());
+    const auto waiting = spec.per_task.cpus * static_cast<double>(job->waiting.size());
+    claim += waiting;
     const bool guaranteed =
         team != teams_.end() && claim <= team->second.guaranteed_cpus + Resources::kSlack;
     const auto estimate = estimator_.estimate(spec);
     const bool hopeless = !std::isfinite(time_left(*job, now).count());
-    queue.push_back(
-        {job, estimate, guaranteed, hopeless,
-         estimate.count() * spec.per_task.cpus * static_cast<double>(job->waiting.size())});
+    queue.push_back({job, estimate, guaranteed, hopeless, estimate.count() * waiting});
   }
   // The design's order is longest first. Before it come priority, for the deadlines, and work
   // within a team's guarantee (docs/design.md, "Order of the queue").
@@ -193,73 +207,124 @@
     if (a.hopeless != b.hopeless) return b.hopeless;
     return a.work < b.work;
   });
+  return queue;
+}
 
-  Packer packer(settings_.tuning.bin_unit, now);
-  for (auto& [id, machine] : fleet_.all())
-    if (placeable(machine, now)) packer.offer(machine);
-
-  // Bound groups first, on the machine that was rented for them.
+// Bound groups come first, on the machine that was rented for them.
+void Controller::place_bound(Packer& packer, TimePoint now) {
   for (auto bound = bound_groups_.begin(); bound != bound_groups_.end();) {
     auto* machine = fleet_.find(bound->first);
-    if (machine == nullptr) {
-      unbind(bound->second, bound->first);
-      bound = bound_groups_.erase(bound);
-      continue;
-    }
-    if (!placeable(*machine, now)) {
+    if (machine != nullptr && !placeable(*machine, now)) {
       ++bound;
       continue;
     }
     for (const auto& key : bound->second) {
       const auto job = jobs_.find(key.job);
-      if (job == jobs_.end() || job->second.tasks[key.index].bound != bound->first) continue;
+      if (machine == nullptr || job == jobs_.end() ||
+          job->second.tasks[key.index].bound != bound->first)
+        continue;
       if (start_task(job->second, key.index, *machine, now)) packer.placed(*machine);
     }
     unbind(bound->second, bound->first);
     bound = bound_groups_.erase(bound);
   }
+}
+
+void Controller::place_job(Packer& packer, const Candidate& candidate, bool holders_only,
+                           TimePoint now) {
+  auto& job = *candidate.job;
+  const auto& spec = job.spec();
+  if (job.waiting.empty() || !within_limit(spec)) return;
+  const bool waited = now - job.opened > to_duration(longest_fetch(spec) * 0.3);
+  const int least_rank = holders_only && !waited ? 1 : 0;
+  const bool patient = narrow_waits_ || now - job.opened < kReservationPatience;
+  const auto barred = patient ? types_for_others(spec) : std::vector<std::string>{};
+  // Where a job is bound to zones, each start changes what the next one may use.
+  const bool zoned = spec.same_zone || spec.spread;
+  for (bool started = true; started;) {
+    started = false;
+    const auto zones = zone_use(job);
+    auto choices = packer.choices(
+        spec, candidate.estimate,
+        [&](const Machine& m) {
+          return allowed_on(spec, m.type, m.zone, m.spot) &&
+                 std::find(barred.begin(), barred.end(), m.type) == barred.end() &&
+                 !job.failed_on.contains(m.id) && zone_allowed(spec, zones, m.zone);
+        },
+        least_rank);
+    for (auto next = job.waiting.begin(); next != job.waiting.end() && !(zoned && started);) {
+      const auto index = *next++;  // a start takes it out of the set
+      if (!job.tasks[index].bound.empty() && !settings_.tuning.bound_tasks_may_move) continue;
+      auto* machine = choices.best();
+      if (machine == nullptr || !start_task(job, index, *machine, now)) return;
+      choices.placed(*machine);
+      started = true;
+    }
+    if (!zoned) return;
+  }
+}
 
-  const bool narrow_waits = std::any_of(by_age.begin(), by_age.end(), [&](const Job* job) {
+void Controller::place(TimePoint now) {
+  if (types_.empty()) return;
+  uncertain_ = uncertain_use();
+  note_narrow_types(now);
+  const auto queue = waiting_jobs(now);
+  narrow_waits_ = std::any_of(queue.begin(), queue.end(), [&](const Candidate& candidate) {
     return std::any_of(types_.begin(), types_.end(), [&](const auto& entry) {
-      return !job->spec().per_task.fits_in(entry.second.capacity);
+      return !candidate.job->spec().per_task.fits_in(entry.second.capacity);
     });
   });
+  // Full machines are of no use to anybody: with a large fleet that is nearly all of them.
+  Resources least{1e18, 1e18, 1e18};
+  for (const auto& candidate : queue) {
+    const auto& need = candidate.job->spec().per_task;
+    least = {std::min(least.cpus, need.cpus), std::min(least.gpus, need.gpus),
+             std::min(least.memory_gb, need.memory_gb)};
+  }
+  Packer packer(settings_.tuning.bin_unit, now);
+  if (!queue.empty())
+    for (auto& [id, machine] : fleet_.all())
+      if (least.fits_in(machine.free()) && placeable(machine, now)) packer.offer(machine);
+  place_bound(packer, now);
   // Two passes: room first goes to tasks whose image is there, whatever their place in the queue,
   // unless a task has waited for as long as its fetch takes; then to the others.
-  std::vector<ScalerTask> leftovers;
   for (const bool holders_only : {true, false})
-    for (const auto& candidate : queue) {
-      auto& job = *candidate.job;
-      const auto& spec = job.spec();
-      const bool patient = narrow_waits || now - job.opened < kReservationPatience;
-      const auto may_use = [&](const Machine& m) {
-        return allowed_on(spec, m.type, m.zone, m.spot) && !job.failed_on.contains(m.id) &&
-               !(patient && reserved_for_others(spec, m.type)) && zone_allowed(job, m.zone);
-      };
-      const bool waited = now - job.opened > to_duration(longest_fetch(spec) * 0.3);
-      const int least_rank = holders_only && !waited ? 1 : 0;
-      const PackTask wanted{&spec, candidate.estimate};
-      const std::vector<TaskIndex> waiting(job.waiting.begin(), job.waiting.end());
-      bool room = true;
-      for (const auto index : waiting) {
-        auto& task = job.tasks[index];
-        if (!within_limit(spec)) break;
-        if (!task.bound.empty() && !settings_.tuning.bound_tasks_may_move) continue;
-        auto* machine = room ? packer.choose(wanted, may_use, least_rank) : nullptr;
-        if (machine != nullptr && start_task(job, index, *machine, now)) {
-          packer.placed(*machine);
-          continue;
-        }
-        room = false;
-        if (holders_only || leftovers.size() >= kMostLeftovers) break;
-        if (task.bound.empty()) leftovers.push_back({{spec.id, index}, &spec, candidate.estimate});
-      }
+    for (const auto& candidate : queue)
+      if (!packer.empty()) place_job(packer, candidate, holders_only, now);
+  if (now - last_scale_ < to_duration(settings_.tuning.round)) return;
+  auto left = leftovers(queue);
+  if (left.empty()) return;
+  last_scale_ = now;
+  scale(std::move(left), now);
+}
+
+// The tasks that found no room and are not bound yet, in the order of the queue.
+std::vector<ScalerJob> Controller::leftovers(const std::vector<Candidate>& queue) const {
+  std::vector<ScalerJob> left;
+  std::map<std::string, double> room;  // tasks that could not start anyway must not rent machines
+  std::size_t total = 0;
+  for (const auto& candidate : queue) {
+    const auto& job = *candidate.job;
+    const auto& spec = job.spec();
+    const auto known = teams_.find(spec.team);
+    if (known == teams_.end()) continue;
+    const auto& team = known->second;
+    auto& free = room.try_emplace(spec.team, team.max_cpus <= 0
+                                                 ? std::numeric_limits<double>::infinity()
+                                                 : team.max_cpus - fleet_.team_use(spec.team).cpus -
+                                                       uncertain_.cpus)
+                     .first->second;
+    ScalerJob entry{&spec, candidate.estimate, {}};
+    for (const auto index : job.waiting) {
+      if (total >= kMostLeftovers || free + Resources::kSlack < spec.per_task.cpus) break;
+      free -= spec.per_task.cpus;
+      if (!job.tasks[index].bound.empty()) continue;
+      entry.tasks.push_back(index);
+      ++total;
     }
-  const bool scale_due = now - last_scale_ >= to_duration(settings_.tuning.round);
-  if (!leftovers.empty() && scale_due) {
-    last_scale_ = now;
-    scale(std::move(leftovers), now);
+    if (!entry.tasks.empty()) left.push_back(std::move(entry));
   }
+  return left;
 }
 
 std::vector<RentalOption> Controller::rental_options(TimePoint now) const {
@@ -277,44 +342,33 @@
 
 bool Controller::dear(const std::string& type, bool spot) const {
   const auto& prices = types_.at(type);
-  return !spot && prices.spot_price > 0 && prices.price > kDearFactor * prices.spot_price;
+  return !spot && prices.spot_price > 0 && is_dear(prices.price, prices.spot_price);
 }
 
-void Controller::scale(std::vector<ScalerTask> leftovers, TimePoint now) {
-  // Team limits: tasks that could not start anyway must not rent machines.
-  std::map<std::string, double> room;
-  std::erase_if(leftovers, [&](const ScalerTask& task) {
-    const auto& team = teams_.at(task.spec->team);
-    if (team.max_cpus <= 0) return false;
-    auto& left =
-        room.try_emplace(team.name, team.max_cpus - fleet_.team_use(team.name).cpus).first->second;
-    left -= task.spec->per_task.cpus;
-    return left < -Resources::kSlack;
-  });
+void Controller::scale(std::vector<ScalerJob> leftovers, TimePoint now) {
   std::stable_sort(leftovers.begin(), leftovers.end(),
                    [](const auto& a, const auto& b) { return a.estimate > b.estimate; });
-  const auto options = rental_options(now);
   const auto may_rent = [&](const JobSpec& spec, const RentalOption& option) {
+    const auto& job = jobs_.at(spec.id);
     // Exception to the design: a dear kind is rented only for work that has waited, since room on
     // a cheap machine may come first (docs/design.md, "Dear machines last").
-    const bool waited =
-        !spec.spot_allowed || age(jobs_.at(spec.id), now) > settings_.tuning.dear_patience;
-    return !reserved_for_others(spec, option.type->name) &&
-           zone_allowed(jobs_.at(spec.id), option.zone) &&
-           (waited || !dear(option.type->name, option.spot));
+    const bool waited = !spec.spot_allowed || age(job, now) > settings_.tuning.dear_patience;
+    return (waited || !dear(option.type->name, option.spot)) &&
+           !reserved_for_others(spec, option.type->name) &&
+           zone_allowed(spec, zone_use(job), option.zone);
   };
+  Scaler scaler(std::move(leftovers), rental_options(now), may_rent);
   std::map<OptionKey, std::vector<std::vector<TaskKey>>> chosen;
-  std::map<OptionKey, double> scores;
-  while (!leftovers.empty()) {
-    const auto choice = choose_rental(leftovers, options, may_rent);
+  bool full = false;
+  while (!full) {
+    const auto choice = scaler.choose();
     if (!choice) break;
-    const OptionKey option{choice->option.type->name, choice->option.zone, choice->option.spot};
-    std::vector<TaskKey> group;
-    for (const auto index : choice->group) group.push_back(leftovers[index].key);
-    for (auto index = choice->group.rbegin(); index != choice->group.rend(); ++index)
-      leftovers.erase(leftovers.begin() + static_cast<long>(*index));
-    chosen[option].push_back(std::move(group));
-    if (chosen[option].size() >= 50) break;
+    const auto& option = scaler.option(*choice);
+    auto& groups = chosen[{option.type->name, option.zone, option.spot}];
+    do {
+      groups.push_back(scaler.take(*choice));
+      full = groups.size() >= kMostMachinesPerRental;
+    } while (!full && scaler.repeats(*choice));
   }
   for (auto& [option, groups] : chosen) {
     if (!rental_rate_.take(now)) break;
@@ -428,7 +482,7 @@
       const auto job = jobs_.find(key.job);
       if (job == jobs_.end()) continue;
       job->second.tasks[key.index].restarted = true;
-      job->second.chunks_dirty.insert(key.index / kProgressChunk);
+      progress_changed(job->second, key.index);
       stop_task(machine, assignment, now);
     }
   }
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -60,21 +60,24 @@
   auto& machine = *known;
   if (std::pair(report.session, report.sequence) <= std::pair(machine.session, machine.sequence))
     return;
-  if (machine.session != 0 && report.session > machine.session)
-    lose_all(machine, "its lease ran out");
+  if (machine.session != 0 && report.session > machine.session) lose_all(machine);
   if (report.session > machine.session) machine.in_doubt.clear();
   const bool first = !machine.up();
   machine.session = report.session;
   machine.sequence = report.sequence;
   machine.heard = now;
+  const bool moved =
+      machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot;
   machine.endpoint = report.endpoint;
-  machine.type = report.type;
-  machine.zone = report.zone;
-  machine.spot = report.spot;
-  apply_type(machine);
+  if (first || moved) {
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    apply_type(machine);
+  }
   if (first) {
     machine.up_since = now;
-    machine.orders_due = true;
+    want_orders(machine);
   }
   if (!machine.registered && !machine.registering) save_machine(machine);
   if (report.token == token_ && !machine.confirmed) {
@@ -91,22 +94,42 @@
   }
 
   machine.reported = report.tasks;
-  std::set<std::pair<TaskKey, Attempt>> listed;
+  std::vector<Attempt> listed;  // an attempt's number belongs to one task only
   for (const auto& entry : report.tasks) {
-    listed.insert({entry.task, entry.attempt});
+    listed.push_back(entry.attempt);
     absorb_task(machine, entry, now);
   }
+  std::sort(listed.begin(), listed.end());
   // What was seen and is listed no more is gone. What was never seen may still be started by a
   // command on its way (docs/safety.md, "One copy of a task", 5).
   std::vector<TaskKey> gone;
   for (const auto& [key, assignment] : machine.tasks)
-    if (assignment.seen && !listed.contains({key, assignment.attempt})) gone.push_back(key);
+    if (assignment.seen && !std::binary_search(listed.begin(), listed.end(), assignment.attempt))
+      gone.push_back(key);
   for (const auto& key : gone) {
     const bool abandoned = machine.tasks.at(key).abandoned;
-    fleet_.unassign(machine, key);
-    if (!abandoned) task_lost(key, "the machine has it no more");
+    drop(machine, key);
+    if (!abandoned) task_lost(key);
     placing_wanted_ = true;
   }
+  note_foreign(machine);
+}
+
+// Live tasks of jobs that are unknown here take room and count for a team that is unknown.
+void Controller::note_foreign(Machine& machine) {
+  const bool foreign =
+      std::any_of(machine.reported.begin(), machine.reported.end(), [&](const TaskReport& entry) {
+        return entry.state != TaskState::exited && !machine.tasks.contains(entry.task);
+      });
+  if (foreign)
+    foreign_.insert(machine.id);
+  else
+    foreign_.erase(machine.id);
+}
+
+void Controller::runs_now(Assignment& assignment, Job* job, TimePoint now) {
+  assignment.running_since = now;
+  if (job != nullptr && !assignment.abandoned) ++job->running;
 }
 
 void Controller::absorb_task(Machine& machine, const TaskReport& entry, TimePoint now) {
@@ -118,10 +141,10 @@
   if (entry.state == TaskState::exited) return absorb_exit(machine, entry, now);
   assignment.state = entry.state;
   if (entry.state == TaskState::running && !assignment.running_since) {
-    assignment.running_since = now;
-    const auto job = jobs_.find(entry.task.job);
-    if (job != jobs_.end())
-      fleet_.touch_image(machine, assignment.image, job->second.spec().image_gb, true);
+    const auto found_job = jobs_.find(entry.task.job);
+    auto* job = found_job == jobs_.end() ? nullptr : &found_job->second;
+    runs_now(assignment, job, now);
+    if (job != nullptr) fleet_.touch_image(machine, assignment.image, job->spec().image_gb, true);
   }
 }
 
@@ -132,8 +155,8 @@
   auto& task = job.tasks[entry.task.index];
   if (entry.state == TaskState::exited) {
     if (entry.cause == ExitCause::done && task.phase == Phase::waiting) {
-      job.set_done(entry.task.index);
-      job.chunks_dirty.insert(entry.task.index / kProgressChunk);
+      task_done(job, entry.task.index);
+      progress_changed(job, entry.task.index);
     }
     return;
   }
@@ -149,7 +172,7 @@
   assignment.state = entry.state;
   assignment.seen = true;
   if (entry.state == TaskState::running) {
-    assignment.running_since = now;
+    runs_now(assignment, &job, now);
     fleet_.touch_image(machine, assignment.image, job.spec().image_gb, true);
   }
   fleet_.assign(machine, entry.task, std::move(assignment));
@@ -158,7 +181,7 @@
 
 void Controller::absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now) {
   const auto assignment = machine.tasks.at(entry.task);
-  fleet_.unassign(machine, entry.task);
+  drop(machine, entry.task);
   placing_wanted_ = true;
   const auto found = jobs_.find(entry.task.job);
   if (found == jobs_.end()) return;
@@ -170,18 +193,18 @@
     fleet_.touch_image(machine, assignment.image, job.spec().image_gb, true);
     machine.errors = 0;
     machine.error_jobs.clear();
-    job.set_done(index);
-    job.chunks_dirty.insert(index / kProgressChunk);
+    task_done(job, index);
+    progress_changed(job, index);
     return;
   }
   job.set_waiting(index);
-  if (entry.cause == ExitCause::error) task_failed(machine, job, index, now);
+  if (entry.cause == ExitCause::error) task_failed(machine, job, now);
   if (entry.cause == ExitCause::unknown || entry.cause == ExitCause::no_room ||
       entry.cause == ExitCause::busy)
     job.backoff_until = std::max(job.backoff_until, now + std::chrono::seconds(1));
 }
 
-void Controller::task_failed(Machine& machine, Job& job, TaskIndex /*index*/, TimePoint now) {
+void Controller::task_failed(Machine& machine, Job& job, TimePoint now) {
   ++job.failures;
   job.failed_on.insert(machine.id);
   // A job that fails on machine after machine was submitted with a mistake: it must neither be
@@ -239,15 +262,24 @@
   if (assignment.stop) return;
   assignment.stop = true;
   assignment.stop_since = now;
-  machine.orders_due = true;
+  want_orders(machine);
 }
 
+void Controller::want_orders(Machine& machine) { orders_due_.insert(machine.id); }
+
 void Controller::send_orders(TimePoint now) {
-  for (auto& [id, machine] : fleet_.all()) {
-    if (!machine.orders_due || machine.orders_in_flight || !machine.up() || machine.releasing ||
-        now < machine.next_orders)
+  for (auto due = orders_due_.begin(); due != orders_due_.end();) {
+    const auto& id = *due;
+    auto* known = fleet_.find(id);
+    if (known == nullptr || !known->up() || known->releasing) {
+      due = orders_due_.erase(due);
       continue;
-    machine.orders_due = false;
+    }
+    auto& machine = *known;
+    if (machine.orders_in_flight || now < machine.next_orders) {
+      ++due;
+      continue;
+    }
     machine.orders_in_flight = true;
     auto commands = commands_for(machine, true);
     machine.starts_in_flight.clear();
@@ -257,6 +289,7 @@
     // that tells the right one.
     actions_.push_back(SendOrders{id, machine.endpoint, std::max<std::uint64_t>(1, machine.session),
                                   std::move(commands)});
+    due = orders_due_.erase(due);
   }
 }
 
@@ -267,7 +300,7 @@
   if (answer == nullptr) {
     machine->in_doubt.insert(machine->starts_in_flight.begin(), machine->starts_in_flight.end());
     machine->next_orders = now + kOrdersRetry;
-    machine->orders_due = true;
+    want_orders(*machine);
     return;
   }
   const bool was_confirmed = machine->confirmed;
@@ -276,14 +309,14 @@
   if (machine == nullptr) return;
   if (!machine->confirmed) {
     machine->next_orders = now + milliseconds(50);
-    machine->orders_due = true;
+    want_orders(*machine);
     return;
   }
   const auto left = commands_for(*machine, true);
   const bool urgent = std::any_of(left.begin(), left.end(),
                                   [](const Command& c) { return c.verb != Verb::forget; });
   if (urgent) {
-    machine->orders_due = true;
+    want_orders(*machine);
     machine->next_orders = was_confirmed ? now + milliseconds(500) : now;
   }
 }
@@ -328,7 +361,7 @@
                                     : tuning.silent_after;
       if (quiet > to_duration(silent_after)) {
         if (quiet > to_duration(tuning.silent_after)) ++silent;
-        machine.orders_due = true;
+        want_orders(machine);
         // After a takeover no older task starts until every machine is accounted for, so one that
         // does not answer is returned sooner.
         const auto patience =
@@ -338,7 +371,7 @@
         // The lease of a machine that answers nothing has run out, and its tasks with it.
         const auto lease_end = settings_.workers.lease * 1.001 + Seconds(1);
         if (machine.confirmed && quiet > to_duration(lease_end) && !machine.tasks.empty())
-          lose_all(machine, "its lease must have run out");
+          lose_all(machine);
       }
       if (machine.quarantined && machine.tasks.empty())
         want_release(machine, "it fails the tasks it starts", now);
@@ -349,7 +382,7 @@
       }
       // Starts and stops that are still open are repeated.
       for (const auto& [key, assignment] : machine.tasks)
-        if (!assignment.seen || assignment.stop) machine.orders_due = true;
+        if (!assignment.seen || assignment.stop) want_orders(machine);
     }
     if (machine.releasing && machine.release_retry && now >= *machine.release_retry) {
       machine.release_retry = now + kReleaseRetry;
@@ -374,7 +407,7 @@
       continue;
     }
     // The answer proves that the machine and all that was on it are gone.
-    lose_all(*machine, "its machine was returned");
+    lose_all(*machine);
     const auto bound = bound_groups_.find(id);
     if (bound != bound_groups_.end()) {
       unbind(bound->second, id);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -4,16 +4,6 @@
 
 namespace violetpulley::core {
 
-bool Machine::has_image(const std::string& image) const {
-  return std::any_of(images.begin(), images.end(),
-                     [&](const CachedImage& c) { return c.present && c.name == image; });
-}
-
-bool Machine::fetching_image(const std::string& image) const {
-  return std::any_of(images.begin(), images.end(),
-                     [&](const CachedImage& c) { return !c.present && c.name == image; });
-}
-
 Seconds remaining_of(const Assignment& assignment, TimePoint now) {
   if (assignment.running_since)
     return remaining_run_time(assignment.estimate, now - *assignment.running_since);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -72,14 +72,11 @@
 
   std::set<Attempt> in_doubt;  // started by orders without an answer: those may arrive once more
   std::vector<Attempt> starts_in_flight;
-  bool orders_due = false;
   bool orders_in_flight = false;
   TimePoint next_orders{};
 
   bool up() const { return !endpoint.empty(); }
   Resources free() const { return capacity - used; }
-  bool has_image(const std::string& image) const;
-  bool fetching_image(const std::string& image) const;
   // Time until its longest task is expected to end (its bin follows from it).
   Seconds remaining(TimePoint now) const;
 };
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -27,6 +27,7 @@
   std::set<TaskIndex> chunks_in_flight;
   std::set<TaskIndex> chunks_stored;
   TaskIndex done = 0;
+  TaskIndex running = 0;  // seen running by their workers
   bool finishing = false;
   TimePoint finish_retry{};
   TimePoint opened{};
--- a/src/core/packer.cpp
+++ b/src/core/packer.cpp
@@ -3,11 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
-namespace violetpulley::core {
+#include "core/prices.hpp"
 
-namespace {
-constexpr double kDearFactor = 1.8;
-}  // namespace
+namespace violetpulley::core {
 
 double free_room(const Machine& machine) {
   const auto free = machine.free();
@@ -15,73 +13,103 @@
 }
 
 int image_rank(const Machine& machine, const std::string& image) {
-  if (image.empty() || machine.has_image(image)) return 2;
-  return machine.fetching_image(image) ? 1 : 0;
+  if (image.empty()) return 2;
+  for (const auto& cached : machine.images)
+    if (cached.name == image) return cached.present ? 2 : 1;
+  return 0;
+}
+
+void Packer::refresh(Offer& offer) {
+  offer.remaining = offer.machine->remaining(now_);
+  offer.bin = bin_of(offer.remaining, unit_);
 }
 
 void Packer::offer(Machine& machine) {
-  const auto remaining = machine.remaining(now_);
-  offers_.push_back({&machine, remaining, bin_of(remaining, unit_)});
+  offers_.push_back({&machine, {}, 0});
+  refresh(offers_.back());
   if (machine.capacity.cpus > 0 && machine.price > 0)
     cheapest_per_cpu_ = std::min(cheapest_per_cpu_, machine.price / machine.capacity.cpus);
 }
 
 void Packer::placed(Machine& machine) {
   for (auto& offer : offers_)
-    if (offer.machine == &machine) {
-      offer.remaining = machine.remaining(now_);
-      offer.bin = bin_of(offer.remaining, unit_);
-    }
+    if (offer.machine == &machine) refresh(offer);
 }
 
 bool Packer::dear_per_cpu(const Machine& machine) const {
   return machine.capacity.cpus > 0 &&
-         machine.price / machine.capacity.cpus > kDearFactor * cheapest_per_cpu_;
+         is_dear(machine.price / machine.capacity.cpus, cheapest_per_cpu_);
 }
 
-Machine* Packer::choose(const PackTask& task, const std::function<bool(const Machine&)>& may_use,
-                        int least_rank) {
+Packer::Choices::Choices(Packer& packer, const JobSpec& spec, Seconds estimate)
+    : packer_(packer), spec_(spec), estimate_(estimate) {}
+
+Packer::Choices Packer::choices(const JobSpec& spec, Seconds estimate,
+                                const std::function<bool(const Machine&)>& may_use,
+                                int least_rank) {
+  Choices out(*this, spec, estimate);
+  for (std::size_t i = 0; i < offers_.size(); ++i) {
+    const auto& machine = *offers_[i].machine;
+    if (!spec.per_task.fits_in(machine.free())) continue;
+    const int rank = image_rank(machine, spec.image);
+    if (rank < least_rank || !may_use(machine)) continue;
+    Choices::Entry entry;
+    entry.offer = i;
+    entry.image_rank = rank;
+    entry.dear = dear_per_cpu(machine);
+    out.place_in_order(entry);
+    out.entries_.push_back(entry);
+  }
+  return out;
+}
+
+// Order of bins: own, then greater (nearest first), then lesser (nearest first).
+void Packer::Choices::place_in_order(Entry& entry) const {
+  const int own = bin_of(estimate_, packer_.unit_);
+  const int bin = packer_.offers_[entry.offer].bin;
+  entry.own_bin = bin == own;
+  entry.bin_order = bin >= own ? bin - own : 1000 + (own - bin);
+}
+
+bool Packer::Choices::better(const Entry& a, const Entry& b) const {
   // Exception to the design: machines that hold the image come before those that must fetch it,
   // since a fetch takes as long as much of the work (docs/design.md, "Images").
-  for (int rank = 2; rank >= least_rank; --rank)
-    if (auto* machine = choose_among(task, may_use, rank)) return machine;
-  return nullptr;
+  if (a.image_rank != b.image_rank) return a.image_rank > b.image_rank;
+  // Exception to the design: dear machines come after all cheaper ones, so that they run empty
+  // and are returned first (docs/design.md, "Dear machines last").
+  if (a.dear != b.dear) return b.dear;
+  if (a.bin_order != b.bin_order) return a.bin_order < b.bin_order;
+  const auto& x = packer_.offers_[a.offer];
+  const auto& y = packer_.offers_[b.offer];
+  if (a.own_bin)
+    return std::abs((x.remaining - estimate_).count()) <
+           std::abs((y.remaining - estimate_).count());
+  return free_room(*x.machine) > free_room(*y.machine);
 }
 
-Machine* Packer::choose_among(const PackTask& task,
-                              const std::function<bool(const Machine&)>& may_use, int rank) {
-  const int own = bin_of(task.estimate, unit_);
-  // Order of bins: own, then greater (nearest first), then lesser (nearest first).
-  const auto bin_order = [own](int bin) { return bin >= own ? bin - own : 1000 + (own - bin); };
-  const Offer* best = nullptr;
-  for (const auto& offer : offers_) {
-    const auto& machine = *offer.machine;
-    if (!task.spec->per_task.fits_in(machine.free()) ||
-        image_rank(machine, task.spec->image) != rank || !may_use(machine))
-      continue;
-    if (best == nullptr) {
-      best = &offer;
+Machine* Packer::Choices::best() {
+  constexpr auto kNone = std::numeric_limits<std::size_t>::max();
+  auto best = kNone;
+  for (std::size_t i = 0; i < entries_.size();) {
+    if (!spec_.per_task.fits_in(packer_.offers_[entries_[i].offer].machine->free())) {
+      entries_[i] = entries_.back();  // full by now
+      entries_.pop_back();
       continue;
     }
-    const int order = bin_order(offer.bin);
-    const int best_order = bin_order(best->bin);
-    // Exception to the design: dear machines come after all cheaper ones, so that they run empty
-    // and are returned first (docs/design.md, "Dear machines last").
-    const bool dear = dear_per_cpu(machine);
-    if (dear != dear_per_cpu(*best->machine)) {
-      if (!dear) best = &offer;
-      continue;
-    }
-    if (order != best_order) {
-      if (order < best_order) best = &offer;
-      continue;
-    }
-    const bool better = offer.bin == own ? std::abs((offer.remaining - task.estimate).count()) <
-                                               std::abs((best->remaining - task.estimate).count())
-                                         : free_room(machine) > free_room(*best->machine);
-    if (better) best = &offer;
+    if (best == kNone || better(entries_[i], entries_[best])) best = i;
+    ++i;
+  }
+  return best == kNone ? nullptr : packer_.offers_[entries_[best].offer].machine;
+}
+
+void Packer::Choices::placed(Machine& machine) {
+  for (auto& entry : entries_) {
+    auto& offer = packer_.offers_[entry.offer];
+    if (offer.machine != &machine) continue;
+    packer_.refresh(offer);
+    entry.image_rank = image_rank(machine, spec_.image);
+    place_in_order(entry);
   }
-  return best == nullptr ? nullptr : best->machine;
 }
 
 }  // namespace violetpulley::core
--- a/src/core/packer.hpp
+++ b/src/core/packer.hpp
@@ -9,24 +9,47 @@
 
 namespace violetpulley::core {
 
-struct PackTask {
-  const JobSpec* spec = nullptr;
-  Seconds estimate{0};
-};
-
 class Packer {
  public:
   Packer(Seconds bin_unit, TimePoint now) : unit_(bin_unit), now_(now) {}
 
-  // The machines that may take tasks in this round.
+  // A machine that may take tasks in this round.
   void offer(Machine& machine);
+  bool empty() const { return offers_.empty(); }
 
-  // The machine for the task, or none. `may_use` filters by place, kind and reservations.
-  // `least_rank`: how much of the image the machine must hold at least (see image_rank).
-  Machine* choose(const PackTask& task, const std::function<bool(const Machine&)>& may_use,
-                  int least_rank = 0);
+  // What the tasks of one job may choose from. They are alike, so one look at the fleet serves all.
+  class Choices {
+   public:
+    // The best machine that still has room, or none.
+    Machine* best();
+    // Tells that a task was placed there, so that its bin and its image follow.
+    void placed(Machine& machine);
 
-  // Tells that the task was placed, so that the machine's bin follows.
+   private:
+    friend class Packer;
+    struct Entry {
+      std::size_t offer = 0;
+      int image_rank = 0;
+      int bin_order = 0;
+      bool own_bin = false;
+      bool dear = false;
+    };
+    Choices(Packer& packer, const JobSpec& spec, Seconds estimate);
+    void place_in_order(Entry& entry) const;
+    bool better(const Entry& a, const Entry& b) const;
+
+    Packer& packer_;
+    const JobSpec& spec_;
+    Seconds estimate_;
+    std::vector<Entry> entries_;
+  };
+
+  // `may_use` filters by place, kind and reservations. `least_rank`: how much of the image a
+  // machine must hold at least (see image_rank).
+  Choices choices(const JobSpec& spec, Seconds estimate,
+                  const std::function<bool(const Machine&)>& may_use, int least_rank = 0);
+
+  // A task was placed outside of any choices.
   void placed(Machine& machine);
 
  private:
@@ -35,10 +58,8 @@
     Seconds remaining;
     int bin;
   };
-  Machine* choose_among(const PackTask& task, const std::function<bool(const Machine&)>& may_use,
-                        int image_rank);
-
   bool dear_per_cpu(const Machine& machine) const;
+  void refresh(Offer& offer);
 
   Seconds unit_;
   TimePoint now_;
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -37,35 +37,65 @@
   return constraining->used / constraining->smallest / price;
 }
 
-std::optional<RentalChoice> choose_rental(const std::vector<ScalerTask>& leftovers,
-                                          const std::vector<RentalOption>& options,
-                                          const MayRent& may_rent) {
-  Resources smallest{1e18, 1e18, 1e18};
-  for (const auto& option : options) {
+Scaler::Scaler(std::vector<ScalerJob> leftovers, std::vector<RentalOption> options,
+               const MayRent& may_rent)
+    : leftovers_(std::move(leftovers)), options_(std::move(options)) {
+  for (const auto& option : options_) {
     const auto& capacity = option.type->capacity;
-    smallest.cpus = std::min(smallest.cpus, capacity.cpus);
-    smallest.memory_gb = std::min(smallest.memory_gb, capacity.memory_gb);
-    if (capacity.gpus > 0) smallest.gpus = std::min(smallest.gpus, capacity.gpus);
+    smallest_.cpus = std::min(smallest_.cpus, capacity.cpus);
+    smallest_.memory_gb = std::min(smallest_.memory_gb, capacity.memory_gb);
+    if (capacity.gpus > 0) smallest_.gpus = std::min(smallest_.gpus, capacity.gpus);
+    std::vector<bool> rentable;
+    for (const auto& job : leftovers_)
+      rentable.push_back(allowed_on(*job.spec, option.type->name, option.zone, option.spot) &&
+                         job.spec->per_task.fits_in(capacity) && may_rent(*job.spec, option));
+    rentable_.push_back(std::move(rentable));
   }
+}
+
+std::optional<RentalChoice> Scaler::choose() const {
   std::optional<RentalChoice> best;
-  for (const auto& option : options) {
+  for (std::size_t at = 0; at < options_.size(); ++at) {
+    const auto& option = options_[at];
     // The groups for this option grow by the next longest task that fits and may run there; a
     // task that may not run there is left for another option.
-    std::vector<std::size_t> group;
+    std::vector<GroupPart> group;
     Resources used;
-    for (std::size_t i = 0; i < leftovers.size(); ++i) {
-      const auto& spec = *leftovers[i].spec;
-      if (!allowed_on(spec, option.type->name, option.zone, option.spot)) continue;
-      if (!spec.per_task.fits_in(option.type->capacity) || !may_rent(spec, option)) continue;
-      const auto grown = used + spec.per_task;
-      if (!grown.fits_in(option.type->capacity)) break;
-      used = grown;
-      group.push_back(i);
-      const double score = rental_score(used, *option.type, option.price, smallest);
-      if (!best || score > best->score * (1 + 1e-9)) best = RentalChoice{option, group, score};
+    bool full = false;
+    for (std::size_t i = 0; i < leftovers_.size() && !full; ++i) {
+      const auto& job = leftovers_[i];
+      if (job.tasks.empty() || !rentable_[at][i]) continue;
+      group.push_back({i, 0});
+      for (std::size_t n = 0; n < job.tasks.size(); ++n) {
+        const auto grown = used + job.spec->per_task;
+        full = !grown.fits_in(option.type->capacity);
+        if (full) break;
+        used = grown;
+        ++group.back().tasks;
+        const double score = rental_score(used, *option.type, option.price, smallest_);
+        if (!best || score > best->score * (1 + 1e-9)) best = RentalChoice{at, group, score};
+      }
     }
   }
   return best;
 }
 
+std::vector<TaskKey> Scaler::take(const RentalChoice& choice) {
+  std::vector<TaskKey> out;
+  for (const auto& part : choice.group) {
+    auto& job = leftovers_[part.job];
+    for (std::size_t n = 0; n < part.tasks; ++n) {
+      out.push_back({job.spec->id, job.tasks.back()});
+      job.tasks.pop_back();
+    }
+  }
+  return out;
+}
+
+bool Scaler::repeats(const RentalChoice& choice) const {
+  return std::all_of(choice.group.begin(), choice.group.end(), [&](const GroupPart& part) {
+    return leftovers_[part.job].tasks.size() >= part.tasks;
+  });
+}
+
 }  // namespace violetpulley::core
--- a/src/core/scaler.hpp
+++ b/src/core/scaler.hpp
@@ -1,5 +1,7 @@
 // Chooses machine types jointly with task groups (paper 3.3): the groups are the first i longest
-// leftovers, the score is the normalized used constraining resource over the price.
+// leftovers, the score is the normalized used constraining resource over the price. Tasks of one
+// job are alike, so they are counted and not listed: the work grows with the jobs, not with the
+// tasks.
 #pragma once
 
 #include <functional>
@@ -8,10 +10,11 @@
 
 namespace violetpulley::core {
 
-struct ScalerTask {
-  TaskKey key;
+// The waiting tasks of one job that no machine has room for.
+struct ScalerJob {
   const JobSpec* spec = nullptr;
   Seconds estimate{0};
+  std::vector<TaskIndex> tasks;
 };
 
 struct RentalOption {
@@ -21,9 +24,14 @@
   double price = 0;
 };
 
+struct GroupPart {
+  std::size_t job = 0;  // index into the leftovers
+  std::size_t tasks = 0;
+};
+
 struct RentalChoice {
-  RentalOption option;
-  std::vector<std::size_t> group;  // indices into the leftovers
+  std::size_t option = 0;  // index into the options
+  std::vector<GroupPart> group;
   double score = 0;
 };
 
@@ -33,12 +41,30 @@
 double rental_score(const Resources& used, const MachineType& type, double price,
                     const Resources& smallest);
 
-// Further reasons not to rent an option for a task.
+// Further reasons not to rent an option for a job.
 using MayRent = std::function<bool(const JobSpec&, const RentalOption&)>;
 
-// The best pair of group and option, or none. `leftovers` are sorted by falling estimate.
-std::optional<RentalChoice> choose_rental(
-    const std::vector<ScalerTask>& leftovers, const std::vector<RentalOption>& options,
-    const MayRent& may_rent = [](const JobSpec&, const RentalOption&) { return true; });
+class Scaler {
+ public:
+  // `leftovers` are sorted by falling estimate.
+  Scaler(
+      std::vector<ScalerJob> leftovers, std::vector<RentalOption> options,
+      const MayRent& may_rent = [](const JobSpec&, const RentalOption&) { return true; });
+
+  // The best pair of group and option, or none.
+  std::optional<RentalChoice> choose() const;
+  // Takes the tasks of one such group off the leftovers.
+  std::vector<TaskKey> take(const RentalChoice& choice);
+  // Whether the same choice could be made once more: then it is still the best one.
+  bool repeats(const RentalChoice& choice) const;
+
+  const RentalOption& option(const RentalChoice& choice) const { return options_[choice.option]; }
+
+ private:
+  std::vector<ScalerJob> leftovers_;
+  std::vector<RentalOption> options_;
+  std::vector<std::vector<bool>> rentable_;  // by option and job
+  Resources smallest_{1e18, 1e18, 1e18};
+};
 
 }  // namespace violetpulley::core
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -61,12 +61,13 @@
   auto& roomy = machine_with(fleet, "roomy", 16, Seconds(50));  // greater too, more room
   auto& lesser = machine_with(fleet, "lesser", 32, Seconds(3));
   const auto spec = spec_of(1, 1, Seconds(10));
-  const PackTask task{&spec, Seconds(10)};
   Packer packer(Seconds(1), kNow);
   for (auto* machine : {&far, &near, &greater, &roomy, &lesser}) packer.offer(*machine);
   std::set<MachineId> barred;
   const auto choose = [&] {
-    return packer.choose(task, [&](const Machine& m) { return !barred.contains(m.id); });
+    return packer
+        .choices(spec, Seconds(10), [&](const Machine& m) { return !barred.contains(m.id); })
+        .best();
   };
   for (auto* expected : {&near, &far, &roomy, &greater, &lesser}) {
     ASSERT_EQ(choose(), expected);
@@ -83,7 +84,7 @@
   Packer packer(Seconds(1), kNow);
   packer.offer(closest);
   packer.offer(holder);
-  EXPECT_EQ(packer.choose({&spec, Seconds(10)}, [](const Machine&) { return true; }), &holder);
+  EXPECT_EQ(packer.choices(spec, Seconds(10), [](const Machine&) { return true; }).best(), &holder);
 }
 
 TEST(Scaler, ScoreIsThePapersExample) {
@@ -99,22 +100,25 @@
   const std::vector<RentalOption> options{
       {&small, "z", true, 0.3}, {&small, "z", false, 1.0}, {&large, "z", true, 2.2}};
   auto spec = spec_of(1, 1, Seconds(10));
-  std::vector<ScalerTask> few;
-  for (TaskIndex i = 0; i < 8; ++i) few.push_back({{"req-1", i}, &spec, Seconds(10)});
-  auto choice = choose_rental(few, options);
+  Scaler scaler({{&spec, Seconds(10), {0, 1, 2, 3, 4, 5, 6, 7, 8, 9}}}, options);
+  auto choice = scaler.choose();
   ASSERT_TRUE(choice);
-  EXPECT_EQ(choice->option.type->name, "small");
-  EXPECT_TRUE(choice->option.spot);
-  EXPECT_EQ(choice->group.size(), 8U);
+  EXPECT_EQ(scaler.option(*choice).type->name, "small");
+  EXPECT_TRUE(scaler.option(*choice).spot);
+  EXPECT_EQ(scaler.take(*choice).size(), 8U);
+  EXPECT_FALSE(scaler.repeats(*choice)) << "two tasks are left, the group has eight";
+  EXPECT_EQ(scaler.take(*scaler.choose()).size(), 2U);
+  EXPECT_FALSE(scaler.choose());
 
   // A task of 16 CPUs fits only the large type; spot is barred, so nothing is left.
   auto big = spec_of(16, 16, Seconds(10));
   big.spot_allowed = false;
-  EXPECT_FALSE(choose_rental({{{"req-2", 0}, &big, Seconds(10)}}, options));
+  EXPECT_FALSE(Scaler({{&big, Seconds(10), {0}}}, options).choose());
   big.spot_allowed = true;
-  choice = choose_rental({{{"req-2", 0}, &big, Seconds(10)}}, options);
+  Scaler for_big({{&big, Seconds(10), {0}}}, options);
+  choice = for_big.choose();
   ASSERT_TRUE(choice);
-  EXPECT_EQ(choice->option.type->name, "large");
+  EXPECT_EQ(for_big.option(*choice).type->name, "large");
 }
 
 TEST(Clearing, RestartsOnlyWhatLosesLessThanItSaves) {
