Budget the state service's requests: users' writes, users' reads, then the rest

Up to 255 requests got no answer in time. Ruled out: the latency of the state service (the leader's own commits took 11 ms) and the leader's processor.

Now submissions go first, reads do not wait behind writes, barriers are shared within 200 ms, followers open a watch every 400 ms at most, shares overlap and a 429 is tried again within half the timeout. A submission that would wait for more than a second is answered 503 at once, with the Retry-After of its turn.

--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr std::size_t kRemembered = 20'000;
-constexpr std::size_t kMostBacklog = 60;
+// A submission that would wait longer for the state service's budget is refused at once.
+constexpr std::chrono::milliseconds kLongestWait{1000};
+constexpr std::chrono::seconds kLongestRetry{25};
 
 net::Response error(int status, const std::string& text) {
   return {status, Json{{"error", text}}.dump(), {}};
@@ -66,10 +68,10 @@
   const auto ended = ended_.find(id);
   if (ended != ended_.end())
     return told(ended->second == FinalState::done ? Known::done : Known::cancelled);
-  mirror_.barrier(Urgency::normal, [this, id, told = std::move(told)](bool fresh) {
+  mirror_.barrier(Urgency::user, [this, id, told = std::move(told)](bool fresh) {
     if (!fresh) return told(std::nullopt);
     if (mirror_.find(id) != nullptr) return told(Known::open);
-    store_.get(store::kEndPrefix + id, Urgency::normal,
+    store_.get(store::kEndPrefix + id, Urgency::user,
                [this, id, told, alive = alive_](store::GetResult result) {
                  if (!*alive) return;
                  if (result.outcome == Outcome::not_found) return told(Known::absent);
@@ -104,9 +106,8 @@
   // A known id is recognised before the submission is looked at anew.
   if (ended_.contains(id) || mirror_.find(id) != nullptr)
     return refuse_unless_known(id, 400, "", respond);
-  if (store_.backlog() > kMostBacklog)
-    return respond(
-        unavailable("too many requests wait for the state service", std::chrono::seconds(2)));
+  if (const auto wait = store_.expected_wait(); wait > kLongestWait)
+    return respond(unavailable("too many submissions wait for the state service", turn(wait)));
   core::JobSpec spec;
   try {
     spec = parse_job(body);
@@ -121,6 +122,15 @@
   accept(std::move(spec), respond);
 }
 
+// When to come back: those who were refused before have their turn first.
+std::chrono::seconds UserApi::turn(core::Duration wait) {
+  const auto now = core::Clock::now();
+  const auto each = store_.write_interval();
+  next_turn_ = std::max(next_turn_ + each, now + wait);
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(next_turn_ - now);
+  return std::clamp(seconds, std::chrono::seconds(1), kLongestRetry);
+}
+
 void UserApi::accept(core::JobSpec spec, const net::Responder& respond) {
   core::JobRecord record{
       std::move(spec),
@@ -128,18 +138,26 @@
   const auto& id = record.spec.id;
   store::Transaction transaction{{{store::kJobPrefix + id, 0}, {store::kEndPrefix + id, 0}},
                                  {{store::kJobPrefix + id, record_to_json(record), std::nullopt}}};
-  store_.commit(transaction, Urgency::normal,
-                [this, record, respond, alive = alive_](store::TransactionResult result) mutable {
-                  if (!*alive) return;
-                  const auto& job = record.spec.id;
-                  if (result.outcome == Outcome::conflict)
-                    return refuse_unless_known(job, 503, "ask again", respond);
-                  if (result.outcome != Outcome::ok) return respond(try_again());
-                  record.revision = result.revision;
-                  mirror_.note_opened(record);
-                  spdlog::debug("job {} accepted", job);
-                  respond({201, Json{{"id", job}, {"status", "queued"}}.dump(), {}});
-                });
+  store_.commit(
+      transaction, Urgency::user,
+      [this, record, respond, came = core::Clock::now(),
+       alive = alive_](store::TransactionResult result) mutable {
+        if (!*alive) return;
+        const auto& job = record.spec.id;
+        if (result.outcome == Outcome::conflict)
+          return refuse_unless_known(job, 503, "ask again", respond);
+        if (result.outcome != Outcome::ok) {
+          spdlog::debug("job {} not accepted: the state service did not {}", job,
+                        result.outcome == Outcome::unknown ? "answer" : "take it");
+          return respond(try_again());
+        }
+        record.revision = result.revision;
+        mirror_.note_opened(record);
+        spdlog::debug(
+            "job {} accepted in {} ms", job,
+            std::chrono::ceil<std::chrono::milliseconds>(core::Clock::now() - came).count());
+        respond({201, Json{{"id", job}, {"status", "queued"}}.dump(), {}});
+      });
 }
 
 void UserApi::poll(const core::JobId& id, const net::Responder& respond) {
--- a/src/api/user_api.hpp
+++ b/src/api/user_api.hpp
@@ -35,6 +35,7 @@
   using Told = std::function<void(std::optional<Known>)>;
   void look_up(const core::JobId& id, Told told);
   void answer(const core::JobId& id, Known known, const net::Responder& respond);
+  std::chrono::seconds turn(core::Duration wait);
   void accept(core::JobSpec spec, const net::Responder& respond);
   void try_cancel(const core::JobId& id, int tries, const net::Responder& respond);
   void refuse_unless_known(const core::JobId& id, int status, const std::string& problem,
@@ -46,6 +47,7 @@
   Environment environment_;
   std::unordered_map<core::JobId, core::FinalState> ended_;
   std::deque<core::JobId> ended_order_;
+  core::TimePoint next_turn_{};  // of a refused submission
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/core/rate_limiter.hpp
+++ b/src/core/rate_limiter.hpp
@@ -32,6 +32,14 @@
     return to_duration(Seconds(lacking / per_second_)) + std::chrono::milliseconds(1);
   }
 
+  // The same for an amount that may take longer than one burst.
+  Duration wait_until(TimePoint now, double amount) {
+    refill(now);
+    const double lacking = amount - level_;
+    return lacking <= 0 ? Duration::zero() : to_duration(Seconds(lacking / per_second_));
+  }
+
+  double rate() const { return per_second_; }
   void set_rate(double per_second, double burst) {
     per_second_ = per_second;
     burst_ = burst;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::chrono::seconds kStoreLost{3};
 constexpr std::chrono::seconds kCatalogEvery{30};
+constexpr milliseconds kLeaderWatchGap{50};
+constexpr milliseconds kFollowerWatchGap{400};
 const std::string kCatalogKey = "catalog";
 
 std::uint64_t seed_of(const std::string& member) {
@@ -77,14 +79,17 @@
 
 store::StoreShare Node::share(bool leading) const {
   const auto nodes = static_cast<double>(settings_.nodes());
-  // The leader writes for all; the others accept, cancel and read.
-  const double leader_part = nodes > 1 ? 0.5 : 0.9;
-  const double part = leading ? leader_part : 0.45 / std::max(1.0, nodes - 1);
-  return {settings_.state_requests_per_s * part, settings_.state_writes_per_s * part};
+  const double others = std::max(1.0, nodes - 1);
+  // The leader writes for all; the others accept, cancel and read. Submissions come in bursts that
+  // rarely meet, so the shares add up to more than the limit: a 429 is tried again.
+  const double reads = leading ? (nodes > 1 ? 0.5 : 0.9) : std::min(0.45, 0.8 / others);
+  const double writes = leading ? (nodes > 1 ? 0.6 : 0.9) : std::min(0.45, 0.9 / others);
+  return {settings_.state_requests_per_s * reads, settings_.state_writes_per_s * writes};
 }
 
 void Node::won() {
   store_.set_share(share(true));
+  mirror_.set_watch_gap(kLeaderWatchGap);
   leader_ = std::make_unique<Leader>(io_, settings_, tuning_, leadership_, election_, store_,
                                      mirror_, cloud_);
   if (!types_.empty()) leader_->set_catalog(types_);
@@ -93,6 +98,7 @@
 
 void Node::lost() {
   store_.set_share(share(false));
+  mirror_.set_watch_gap(kFollowerWatchGap);
   // The leader may be in the middle of a callback: it ends when that has returned.
   if (leader_) asio::post(io_, [old = std::shared_ptr<Leader>(std::move(leader_))] {});
 }
@@ -114,7 +120,7 @@
 void Node::fetch_catalog() {
   if (leadership_.leading()) return fetch_catalog_from_cloud();
   if (!types_.empty()) return;
-  store_.get(kCatalogKey, Urgency::normal, [this, alive = alive_](store::GetResult result) {
+  store_.get(kCatalogKey, Urgency::background, [this, alive = alive_](store::GetResult result) {
     if (!*alive) return;
     if (result.outcome == Outcome::ok) {
       try {
@@ -136,7 +142,7 @@
     if (!catalog_saved_) {
       store::Transaction save{{{"leader", leadership_.token()}},
                               {{kCatalogKey, Json::parse(catalog->body), std::nullopt}}};
-      store_.commit(save, Urgency::normal, [this, alive](store::TransactionResult result) {
+      store_.commit(save, Urgency::background, [this, alive](store::TransactionResult result) {
         if (*alive) catalog_saved_ = result.outcome == Outcome::ok;
       });
     }
@@ -181,7 +187,7 @@
   second_timer_.expires_after(std::chrono::seconds(1));
   second_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
     if (!*alive || error) return;
-    store_.get(kCatalogKey, Urgency::normal, [this, alive](store::GetResult result) {
+    store_.get(kCatalogKey, Urgency::background, [this, alive](store::GetResult result) {
       if (*alive && (result.outcome == Outcome::ok || result.outcome == Outcome::not_found))
         store_answered_ = Clock::now();
     });
--- a/src/store/job_mirror.cpp
+++ b/src/store/job_mirror.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 constexpr milliseconds kBlock{10000};
-constexpr milliseconds kBarrierGap{60};
+// Reads are a shared budget: polls that come within this time share one barrier.
+constexpr milliseconds kBarrierGap{200};
 constexpr std::size_t kPrefixSize = 4;
 }  // namespace
 
@@ -52,17 +53,23 @@
 }
 
 void JobMirror::watch() {
-  store_.changes(kJobPrefix, revision_, kBlock, Urgency::normal,
+  store_.changes(kJobPrefix, revision_, kBlock, Urgency::user,
                  [this, alive = alive_](ChangesResult result) {
                    if (!*alive) return;
-                   if (result.outcome == Outcome::ok) {
-                     apply(result);
-                     return watch();
-                   }
-                   retry_reload();
+                   if (result.outcome != Outcome::ok) return retry_reload();
+                   apply(result);
+                   watch_later();
                  });
 }
 
+// Each opened watch is a request of the budget, so changes that come close together share one.
+void JobMirror::watch_later() {
+  retry_timer_.expires_after(watch_gap_);
+  retry_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+    if (*alive && !error) watch();
+  });
+}
+
 // An answer covers every change after the revision that it was asked for, so of an answer that
 // comes late only what is newer than the mirror counts.
 void JobMirror::apply(const ChangesResult& result) {
@@ -132,7 +139,7 @@
   barrier_running_ = true;
   last_barrier_ = Clock::now();
   auto waiting = std::exchange(waiting_, {});
-  const auto urgency = std::exchange(barrier_urgency_, Urgency::normal);
+  const auto urgency = std::exchange(barrier_urgency_, Urgency::user);
   store_.changes(
       kJobPrefix, revision_, milliseconds(0), urgency,
       [this, alive = alive_, waiting = std::move(waiting)](ChangesResult result) mutable {
--- a/src/store/job_mirror.hpp
+++ b/src/store/job_mirror.hpp
@@ -29,6 +29,9 @@
   const std::unordered_map<core::JobId, core::JobRecord>& jobs() const { return jobs_; }
   const core::JobRecord* find(const core::JobId& id) const;
 
+  // How long changes may gather: a leader wants to know of new jobs soon.
+  void set_watch_gap(std::chrono::milliseconds gap) { watch_gap_ = gap; }
+
   // Calls back with true once the mirror is not older than this call.
   void barrier(Urgency urgency, std::function<void(bool)> done);
 
@@ -39,6 +42,7 @@
  private:
   void reload();
   void watch();
+  void watch_later();
   void retry_reload();
   void apply(const ChangesResult& result);
   void open(const core::JobId& id, const Json& value, Revision revision);
@@ -51,11 +55,12 @@
   asio::steady_timer barrier_timer_;
   std::unordered_map<core::JobId, core::JobRecord> jobs_;
   std::unordered_map<core::JobId, Revision> closed_early_;
+  std::chrono::milliseconds watch_gap_{400};
   Revision revision_ = 0;
   bool synced_ = false;
   bool barrier_running_ = false;
   bool barrier_scheduled_ = false;
-  Urgency barrier_urgency_ = Urgency::normal;
+  Urgency barrier_urgency_ = Urgency::user;
   core::TimePoint last_barrier_{};
   std::vector<std::function<void(bool)>> waiting_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/store/leader_writer.cpp
+++ b/src/store/leader_writer.cpp
@@ -26,14 +26,14 @@
 
 void LeaderWriter::commit(Transaction transaction, std::function<void(TransactionResult)> done) {
   transaction.conditions.push_back({"leader", token_});
-  store_.commit(transaction, Urgency::normal,
+  store_.commit(transaction, Urgency::background,
                 [alive = alive_, done = std::move(done)](TransactionResult result) {
                   if (*alive) done(std::move(result));
                 });
 }
 
 void LeaderWriter::flush(core::TimePoint now) {
-  if (in_flight_ || rereading_ > 0 || now < next_flush_) return;
+  if (in_flight_ || rereading_ > 0 || now < next_flush_ || !store_.idle()) return;
   Batches batches;
   Transaction transaction;
   std::size_t bytes = 0;
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace violetpulley::store {
 
 using core::Clock;
@@ -47,68 +49,108 @@
     : timer_(io),
       client_(io, peer, 16),
       watch_client_(io, peer, 6),
-      requests_(share.requests_per_s, share.requests_per_s * 0.5),
+      requests_(share.requests_per_s, share.requests_per_s),
       writes_(share.writes_per_s, share.writes_per_s),
       random_(seed) {}
 
 StoreClient::~StoreClient() { *alive_ = false; }
 
 void StoreClient::set_share(StoreShare share) {
-  requests_.set_rate(share.requests_per_s, share.requests_per_s * 0.5);
+  requests_.set_rate(share.requests_per_s, share.requests_per_s);
   writes_.set_rate(share.writes_per_s, share.writes_per_s);
 }
 
 void StoreClient::send(Work work, Urgency urgency) {
+  const auto now = Clock::now();
+  work.patience = now + work.timeout / 2;
+  const auto lane = lane_of(work, urgency);
   if (urgency == Urgency::safety) {
-    requests_.force(Clock::now());
-    writes_.force(Clock::now(), work.writes);
-    return launch(std::move(work), false);
+    requests_.force(now);
+    writes_.force(now, work.writes);
+    return launch(std::move(work), lane);
   }
-  queue_.push_back(std::move(work));
+  lanes_[lane].push_back(std::move(work));
   pump();
 }
 
-void StoreClient::launch(Work work, bool watching) {
-  auto handler = [this, alive = alive_,
-                  done = std::move(work.handler)](std::optional<net::Response> response) {
-    if (!*alive) return;
-    if (response && response->status == 429) {
-      back_off_ = std::clamp(back_off_ * 2, milliseconds(50), milliseconds(1000));
-      std::uniform_int_distribution<long> jitter(back_off_.count() / 2, back_off_.count());
-      resume_at_ = Clock::now() + milliseconds(jitter(random_));
-      spdlog::debug("state service: 429, backing off {} ms", back_off_.count());
-    } else if (response) {
-      back_off_ = milliseconds(0);
-    }
-    done(std::move(response));
-  };
-  auto& client = watching ? watch_client_ : client_;
-  client.request(std::move(work.request), work.timeout, std::move(handler));
+void StoreClient::note(const std::optional<net::Response>& response) {
+  if (response && response->status == 429) {
+    back_off_ = std::clamp(back_off_ * 2, milliseconds(50), milliseconds(1000));
+    std::uniform_int_distribution<long> jitter(back_off_.count() / 2, back_off_.count());
+    resume_at_ = Clock::now() + milliseconds(jitter(random_));
+    spdlog::debug("state service: 429, backing off {} ms", back_off_.count());
+  } else if (response) {
+    back_off_ = milliseconds(0);
+  }
+}
+
+void StoreClient::launch(Work work, Lane lane) {
+  auto request = work.request;
+  const auto timeout = work.timeout;
+  client_.request(std::move(request), timeout,
+                  [this, lane, alive = alive_,
+                   work = std::move(work)](std::optional<net::Response> response) mutable {
+                    if (!*alive) return;
+                    note(response);
+                    if (response && response->status == 429 && Clock::now() < work.patience) {
+                      lanes_[lane].push_front(std::move(work));
+                      return pump();
+                    }
+                    const auto done = std::move(work.handler);
+                    done(std::move(response));
+                  });
+}
+
+void StoreClient::launch_watch(Work work) {
+  requests_.force(Clock::now());
+  watch_client_.request(std::move(work.request), work.timeout,
+                        [this, alive = alive_,
+                         done = std::move(work.handler)](std::optional<net::Response> response) {
+                          if (!*alive) return;
+                          note(response);
+                          done(std::move(response));
+                        });
+}
+
+core::Duration StoreClient::wait_of(const Work& work, core::TimePoint now) {
+  auto wait = std::max(requests_.wait_for(now), resume_at_ - now);
+  if (work.writes > 0) wait = std::max(wait, writes_.wait_for(now, work.writes));
+  return wait;
+}
+
+core::Duration StoreClient::expected_wait() {
+  double writes = 1;
+  for (const auto& work : lanes_[user_writes]) writes += work.writes;
+  const auto now = Clock::now();
+  return std::max(resume_at_ - now, writes_.wait_until(now, writes));
+}
+
+bool StoreClient::idle() const {
+  return std::all_of(lanes_.begin(), lanes_.end(), [](const auto& lane) { return lane.empty(); });
 }
 
 void StoreClient::pump() {
-  if (pumping_) return;
-  while (!queue_.empty()) {
-    const auto now = Clock::now();
-    auto wait = std::max(requests_.wait_for(now), resume_at_ - now);
-    if (queue_.front().writes > 0)
-      wait = std::max(wait, writes_.wait_for(now, queue_.front().writes));
-    if (wait > core::Duration::zero()) {
-      pumping_ = true;
-      timer_.expires_after(wait);
-      timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
-        if (!*alive || error) return;
-        pumping_ = false;
-        pump();
-      });
-      return;
+  timer_.cancel();
+  auto least = core::Duration::max();
+  for (auto& lane : lanes_)
+    while (!lane.empty()) {
+      const auto now = Clock::now();
+      const auto wait = wait_of(lane.front(), now);
+      if (wait > core::Duration::zero()) {
+        least = std::min(least, wait);
+        break;
+      }
+      requests_.force(now);
+      writes_.force(now, lane.front().writes);
+      auto work = std::move(lane.front());
+      lane.pop_front();
+      launch(std::move(work), static_cast<Lane>(&lane - lanes_.data()));
     }
-    requests_.force(now);
-    writes_.force(now, queue_.front().writes);
-    auto work = std::move(queue_.front());
-    queue_.pop_front();
-    launch(std::move(work), false);
-  }
+  if (least == core::Duration::max()) return;
+  timer_.expires_after(least);
+  timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+    if (*alive && !error) pump();
+  });
 }
 
 void StoreClient::get(const std::string& key, Urgency urgency,
@@ -225,10 +267,7 @@
                 });
               done(std::move(result));
             }};
-  if (block > milliseconds(0)) {
-    requests_.force(Clock::now());
-    return launch(std::move(work), true);
-  }
+  if (block > milliseconds(0)) return launch_watch(std::move(work));
   send(std::move(work), urgency);
 }
 
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -2,6 +2,7 @@
 // traffic goes first and is never held back by the pace.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -17,7 +18,8 @@
 using Json = nlohmann::json;
 using core::Revision;
 
-enum class Urgency { safety, normal };
+// safety: never held back. user: somebody waits for the answer. background: the rest.
+enum class Urgency { safety, user, background };
 
 // refused: certainly not executed. unknown: may have been, or may yet be, executed.
 enum class Outcome { ok, conflict, not_found, too_old, refused, unknown };
@@ -99,8 +101,14 @@
   void extend_hold(std::uint64_t hold, std::function<void(Outcome)> done);
   void end_hold(std::uint64_t hold);
 
-  // How many requests wait for the pace: callers shed load on it.
-  std::size_t backlog() const { return queue_.size(); }
+  // How long a user's write would wait for the pace if it came now: callers shed load on it.
+  core::Duration expected_wait();
+  // From one write of this node to the next, at its pace.
+  core::Duration write_interval() const {
+    return core::to_duration(core::Seconds(1.0 / writes_.rate()));
+  }
+  // The pace allows, and nobody's request waits: background work may use what is left.
+  bool idle() const;
 
  private:
   struct Work {
@@ -108,9 +116,19 @@
     std::chrono::milliseconds timeout;
     double writes;
     net::ResponseHandler handler;
+    core::TimePoint patience{};  // until then a 429, which is no execution, is tried again
   };
+  // Reads must not wait behind writes, whose budget is smaller by far.
+  enum Lane { user_writes, user_reads, background, kLanes };
+  static Lane lane_of(const Work& work, Urgency urgency) {
+    if (urgency != Urgency::user) return background;
+    return work.writes > 0 ? user_writes : user_reads;
+  }
+  core::Duration wait_of(const Work& work, core::TimePoint now);
   void send(Work work, Urgency urgency);
-  void launch(Work work, bool watching);
+  void launch(Work work, Lane lane);
+  void launch_watch(Work work);
+  void note(const std::optional<net::Response>& response);
   void pump();
   void list_page(const std::string& prefix, const std::string& since, Urgency urgency,
                  std::shared_ptr<ListResult> gathered, std::function<void(ListResult)> done);
@@ -120,11 +138,10 @@
   net::HttpClient watch_client_;
   core::RateLimiter requests_;
   core::RateLimiter writes_;
-  std::deque<Work> queue_;
+  std::array<std::deque<Work>, kLanes> lanes_;
   std::mt19937_64 random_;
   core::TimePoint resume_at_{};
   std::chrono::milliseconds back_off_{0};
-  bool pumping_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
