Scaler: a full request leaves the round to other types

Ruled out: refusals (spot 64-CPU machines were free).

An option whose request is full is now set aside for the round; what it serves may use only options as cheap, and the others are still scaled for. No cap on leftovers is needed, as tasks are counted per job.

--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t kMostLeftovers = 1500;
 constexpr std::size_t kMostMachinesPerRental = 50;  // PROTOCOL, POST /rentals
 constexpr std::chrono::minutes kNarrowRemembered{5};
 constexpr std::chrono::seconds kReservationPatience{20};
@@ -302,7 +301,6 @@
 std::vector<ScalerJob> Controller::leftovers(const std::vector<Candidate>& queue) const {
   std::vector<ScalerJob> left;
   std::map<std::string, double> room;  // tasks that could not start anyway must not rent machines
-  std::size_t total = 0;
   for (const auto& candidate : queue) {
     const auto& job = *candidate.job;
     const auto& spec = job.spec();
@@ -316,11 +314,10 @@
                      .first->second;
     ScalerJob entry{&spec, candidate.estimate, {}};
     for (const auto index : job.waiting) {
-      if (total >= kMostLeftovers || free + Resources::kSlack < spec.per_task.cpus) break;
+      if (free + Resources::kSlack < spec.per_task.cpus) break;
       free -= spec.per_task.cpus;
       if (!job.tasks[index].bound.empty()) continue;
       entry.tasks.push_back(index);
-      ++total;
     }
     if (!entry.tasks.empty()) left.push_back(std::move(entry));
   }
@@ -359,16 +356,12 @@
   };
   Scaler scaler(std::move(leftovers), rental_options(now), may_rent);
   std::map<OptionKey, std::vector<std::vector<TaskKey>>> chosen;
-  bool full = false;
-  while (!full) {
-    const auto choice = scaler.choose();
-    if (!choice) break;
+  while (const auto choice = scaler.choose()) {
     const auto& option = scaler.option(*choice);
     auto& groups = chosen[{option.type->name, option.zone, option.spot}];
-    do {
-      groups.push_back(scaler.take(*choice));
-      full = groups.size() >= kMostMachinesPerRental;
-    } while (!full && scaler.repeats(*choice));
+    do groups.push_back(scaler.take(*choice));
+    while (groups.size() < kMostMachinesPerRental && scaler.repeats(*choice));
+    if (groups.size() >= kMostMachinesPerRental) scaler.exhaust(*choice);
   }
   for (auto& [option, groups] : chosen) {
     if (!rental_rate_.take(now)) break;
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -4,6 +4,10 @@
 
 namespace violetpulley::core {
 
+namespace {
+constexpr double kAsCheap = 1.05;
+}
+
 bool allowed_on(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
   if (spot && !spec.spot_allowed) return false;
   if (spec.zone && *spec.zone != zone) return false;
@@ -92,6 +96,18 @@
   return out;
 }
 
+void Scaler::exhaust(const RentalChoice& choice) {
+  const auto unit_price = [&](std::size_t at) {
+    const auto& capacity = options_[at].type->capacity;
+    return options_[at].price / std::max(capacity.cpus, 1e-9);
+  };
+  const auto served = rentable_[choice.option];
+  const double most = unit_price(choice.option) * kAsCheap;
+  for (std::size_t at = 0; at < options_.size(); ++at)
+    for (std::size_t job = 0; job < served.size(); ++job)
+      if (served[job] && (at == choice.option || unit_price(at) > most)) rentable_[at][job] = false;
+}
+
 bool Scaler::repeats(const RentalChoice& choice) const {
   return std::all_of(choice.group.begin(), choice.group.end(), [&](const GroupPart& part) {
     return leftovers_[part.job].tasks.size() >= part.tasks;
--- a/src/core/scaler.hpp
+++ b/src/core/scaler.hpp
@@ -58,6 +58,10 @@
   // Whether the same choice could be made once more: then it is still the best one.
   bool repeats(const RentalChoice& choice) const;
 
+  // No more of this option in this round. What would have used it waits for the next one, unless
+  // an option as cheap remains: it must not go to a dearer one only because one request is full.
+  void exhaust(const RentalChoice& choice);
+
   const RentalOption& option(const RentalChoice& choice) const { return options_[choice.option]; }
 
  private:
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -121,6 +121,33 @@
   EXPECT_EQ(for_big.option(*choice).type->name, "large");
 }
 
+// Found on a day with many small urgent tasks and large ones that fit the large type alone: the
+// first option filled every round by itself, and no large machine was rented for two minutes.
+TEST(Scaler, AFullRequestLeavesTheRoundToOthersButNotToDearerKinds) {
+  MachineType small{"small", {8, 0, 64}, 10, 1, 1.0, 0.3, Seconds(30), {"y", "z"}};
+  MachineType large{"large", {64, 0, 512}, 10, 1, 9.0, 3.0, Seconds(30), {"z"}};
+  auto little = spec_of(1, 1, Seconds(10));
+  auto big = spec_of(16, 16, Seconds(10));
+  Scaler scaler({{&little, Seconds(20), std::vector<TaskIndex>(100)}, {&big, Seconds(10), {0, 1}}},
+                {{&small, "z", true, 0.3},
+                 {&small, "y", true, 0.3},
+                 {&small, "z", false, 1.0},
+                 {&large, "z", true, 3.0}});
+  const auto first = scaler.choose();
+  ASSERT_EQ(scaler.option(*first).type->name, "small");
+  scaler.take(*first);
+  scaler.exhaust(*first);
+  const auto second = scaler.choose();
+  EXPECT_EQ(scaler.option(*second).price, 0.3) << "the same kind in another zone";
+  EXPECT_NE(scaler.option(*second).zone, scaler.option(*first).zone);
+  scaler.exhaust(*second);
+  const auto third = scaler.choose();
+  ASSERT_TRUE(third);
+  EXPECT_EQ(scaler.option(*third).type->name, "large");
+  EXPECT_EQ(scaler.take(*third).size(), 2U) << "the small tasks wait for the next round";
+  EXPECT_FALSE(scaler.choose());
+}
+
 TEST(Clearing, RestartsOnlyWhatLosesLessThanItSaves) {
   Fleet fleet;
   auto& machine = machine_with(fleet, "m", 16, Seconds(100));
