--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -62,6 +62,7 @@
 };
 struct Release {
   std::vector<MachineId> machines;
+  std::string cause;  // for the log: "3 idle, 1 silent"
 };
 struct Resign {
   std::string cause;
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -448,7 +448,7 @@
       const bool dear_one = types_.contains(machine.type) && dear(machine.type, machine.spot);
       const auto wait = dear_one ? tuning.dear_idle_wait : tuning.idle_wait;
       const bool waited = now - *machine.idle_since >= to_duration(wait);
-      if (waited || machine.clearing) want_release(machine, "it is idle", now);
+      if (waited || machine.clearing) want_release(machine, "idle", now);
       continue;
     }
     machine.idle_since.reset();
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -10,7 +10,8 @@
 constexpr milliseconds kOrdersRetry{1000};
 constexpr std::chrono::seconds kReleaseRetry{3};
 constexpr std::chrono::seconds kRemembered{90};
-constexpr int kImagesPerPass = 20;  // their records only spare fetches after a takeover
+constexpr std::size_t kMostReleased = 100;  // PROTOCOL, POST /rentals/release
+constexpr int kImagesPerPass = 20;          // their records only spare fetches after a takeover
 }  // namespace
 
 void Controller::apply_type(Machine& machine) {
@@ -332,9 +333,10 @@
   return heard * 2 >= up || up == 1;
 }
 
-void Controller::want_release(Machine& machine, const char* /*cause*/, TimePoint now) {
+void Controller::want_release(Machine& machine, const char* cause, TimePoint now) {
   if (machine.releasing) return;
   machine.releasing = true;
+  machine.release_cause = cause;
   machine.release_retry = now;
   placing_wanted_ = true;
 }
@@ -351,7 +353,7 @@
       const auto type = types_.find(machine.type);
       const Seconds boot = type == types_.end() ? Seconds(60) : type->second.boot;
       const auto late = to_duration(boot * tuning.boot_late_factor + settings_.workers.report);
-      if (now - machine.since > late) want_release(machine, "it does not boot", now);
+      if (now - machine.since > late) want_release(machine, "late to boot", now);
     } else {
       ++up;
       const auto last = machine.heard.value_or(std::max(machine.since, takeover_));
@@ -366,15 +368,13 @@
         // does not answer is returned sooner.
         const auto patience =
             unconfirmed_.contains(id) ? tuning.lost_after_takeover : tuning.lost_after;
-        if (quiet > to_duration(patience) && heard_from_most)
-          want_release(machine, "it is silent", now);
+        if (quiet > to_duration(patience) && heard_from_most) want_release(machine, "silent", now);
         // The lease of a machine that answers nothing has run out, and its tasks with it.
         const auto lease_end = settings_.workers.lease * 1.001 + Seconds(1);
         if (machine.confirmed && quiet > to_duration(lease_end) && !machine.tasks.empty())
           lose_all(machine);
       }
-      if (machine.quarantined && machine.tasks.empty())
-        want_release(machine, "it fails the tasks it starts", now);
+      if (machine.quarantined && machine.tasks.empty()) want_release(machine, "sick", now);
       if (machine.images_changed && machine.registered && !machine.registering &&
           images_saved < kImagesPerPass) {
         ++images_saved;
@@ -389,10 +389,17 @@
       release.push_back(id);
     }
   }
-  for (std::size_t at = 0; at < release.size(); at += 100)
-    actions_.push_back(
-        Release{{release.begin() + static_cast<long>(at),
-                 release.begin() + static_cast<long>(std::min(release.size(), at + 100))}});
+  for (std::size_t at = 0; at < release.size(); at += kMostReleased) {
+    Release action;
+    std::map<std::string, int> causes;
+    for (auto i = at; i < std::min(release.size(), at + kMostReleased); ++i) {
+      action.machines.push_back(release[i]);
+      ++causes[fleet_.find(release[i])->release_cause];
+    }
+    for (const auto& [cause, count] : causes)
+      action.cause += (action.cause.empty() ? "" : ", ") + std::to_string(count) + " " + cause;
+    actions_.push_back(std::move(action));
+  }
   if (up >= 2 && silent == up && now - takeover_ > to_duration(tuning.silent_after * 1.5))
     actions_.push_back(Resign{"no machine is heard from"});
   std::erase_if(released_, [&](const auto& entry) { return now - entry.second > kRemembered; });
@@ -435,7 +442,7 @@
       apply_type(machine);
       known = &machine;
     }
-    if (listed.failed) want_release(*known, "it has stopped", now);
+    if (listed.failed) want_release(*known, "stopped", now);
   }
 }
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -64,6 +64,7 @@
   bool clearing = false;
   bool quarantined = false;
   bool releasing = false;
+  const char* release_cause = "";
   std::optional<TimePoint> release_retry;
   std::optional<TimePoint> underused_since;
   std::optional<TimePoint> idle_since;
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -407,7 +407,8 @@
         pump_soon();
       });
     } else if constexpr (std::is_same_v<T, core::Release>) {
-      spdlog::info("returning {} machines, first {}", a.machines.size(), a.machines.front());
+      spdlog::info("returning {} machines ({}), first {}", a.machines.size(), a.cause,
+                   a.machines.front());
       cloud_.release(a.machines, [this, alive = alive_, machines = a.machines](bool ok) {
         if (!*alive) return;
         if (!ok) spdlog::warn("machines could not be returned; will try again");
