--- a/src/core/packer.cpp
+++ b/src/core/packer.cpp
@@ -19,12 +19,6 @@
   return 0;
 }
 
-bool fetches_another(const Machine& machine, const std::string& image) {
-  return std::any_of(machine.tasks.begin(), machine.tasks.end(), [&](const auto& entry) {
-    return !entry.second.running_since && !entry.second.abandoned && entry.second.image != image;
-  });
-}
-
 void Packer::refresh(Offer& offer) {
   offer.remaining = offer.machine->remaining(now_);
   offer.bin = bin_of(offer.remaining, unit_);
@@ -63,7 +57,6 @@
     entry.offer = i;
     entry.image_rank = rank;
     entry.dear = dear_per_cpu(machine);
-    entry.fetching = rank == 0 && fetches_another(machine, spec.image);
     out.place_in_order(entry);
     out.entries_.push_back(entry);
   }
@@ -82,8 +75,6 @@
   // Exception to the design: machines that hold the image come before those that must fetch it,
   // since a fetch takes as long as much of the work (docs/design.md, "Images").
   if (a.image_rank != b.image_rank) return a.image_rank > b.image_rank;
-  // Images that are fetched at the same time share the machine's rate.
-  if (a.fetching != b.fetching) return b.fetching;
   // Exception to the design: dear machines come after all cheaper ones, so that they run empty
   // and are returned first (docs/design.md, "Dear machines last").
   if (a.dear != b.dear) return b.dear;
@@ -117,7 +108,6 @@
     if (offer.machine != &machine) continue;
     packer_.refresh(offer);
     entry.image_rank = image_rank(machine, spec_.image);
-    entry.fetching = entry.image_rank == 0 && entry.fetching;
     place_in_order(entry);
   }
 }
--- a/src/core/packer.hpp
+++ b/src/core/packer.hpp
@@ -33,7 +33,6 @@
       int bin_order = 0;
       bool own_bin = false;
       bool dear = false;
-      bool fetching = false;  // another image, which a further fetch would slow down
     };
     Choices(Packer& packer, const JobSpec& spec, Seconds estimate);
     void place_in_order(Entry& entry) const;
@@ -71,9 +70,6 @@
 // Free room as one figure, for "most free room" among machines of different types.
 double free_room(const Machine& machine);
 
-// Whether a task there still waits for an image other than this one.
-bool fetches_another(const Machine& machine, const std::string& image);
-
 // What of a machine's image a task finds there: 0 nothing, 1 being fetched, 2 present.
 int image_rank(const Machine& machine, const std::string& image);
 
