Share out the cloud's calls: types take turns, returns gather

The option that was asked for longest ago now comes first, returns gather for the time that their share of the calls demands, the list is read every 10 s (its lag). Rentals get up to half the limit.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -20,7 +20,8 @@
       next_attempt_((token << 24U) + 1),
       takeover_(now),
       older_leases_end_(older_leases_end),
-      rental_rate_(settings_.rentals_per_s, std::max(1.0, settings_.rentals_per_s)) {
+      rental_rate_(settings_.cloud_calls_per_s * kRentalsShare,
+                   std::max(1.0, settings_.cloud_calls_per_s * kRentalsShare)) {
   for (const auto& team : settings_.teams) teams_[team.name] = team;
   for (const auto& record : inheritance.jobs) {
     job_opened(record, now);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -12,6 +12,9 @@
 
 namespace violetpulley::core {
 
+inline constexpr double kRentalsShare = 0.65;  // of the cloud calls
+inline constexpr double kReleasesShare = 0.5;  // both rarely want all of theirs at once
+
 // The operators' aim for a class of jobs: done within this time after submission.
 struct FinishAim {
   std::string job_class;
@@ -22,7 +25,7 @@
   std::vector<Team> teams;
   WorkerTimes workers;
   Tuning tuning;
-  double rentals_per_s = 1;
+  double cloud_calls_per_s = 1;  // for rentals and returns
   Seconds list_lag{10};
   std::vector<FinishAim> aims;
   WallTime wall_at_start{};  // the time of day that belongs to the start's steady time
@@ -127,6 +130,7 @@
   void apply_type(Machine& machine);
   void save_machine(Machine& machine);
   void watch_machines(TimePoint now);
+  void release_machines(TimePoint now);
   void want_release(Machine& machine, const char* cause, TimePoint now);
   bool others_heard(TimePoint now) const;
 
@@ -180,6 +184,7 @@
   std::map<std::string, Rental> rentals_;
   std::map<MachineId, std::vector<TaskKey>> bound_groups_;
   std::map<OptionKey, TimePoint> resting_;
+  std::map<OptionKey, TimePoint> last_rented_;
   std::map<std::string, TimePoint> narrow_types_;  // types that some tasks cannot do without
   std::map<MachineId, TimePoint> released_;
   RateLimiter rental_rate_;
@@ -190,6 +195,7 @@
   TimePoint last_scale_{};
   TimePoint last_persist_{};
   TimePoint last_watch_{};
+  TimePoint last_release_{};
 };
 
 }  // namespace violetpulley::core
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -363,8 +363,17 @@
     while (groups.size() < kMostMachinesPerRental && scaler.repeats(*choice));
     if (groups.size() >= kMostMachinesPerRental) scaler.exhaust(*choice);
   }
-  for (auto& [option, groups] : chosen) {
+  // Requests are few a second: the option that was asked for longest ago comes first, so that
+  // none starves behind another that fills one request after the other.
+  std::vector<OptionKey> order;
+  for (const auto& [option, groups] : chosen) order.push_back(option);
+  std::stable_sort(order.begin(), order.end(), [&](const OptionKey& x, const OptionKey& y) {
+    return last_rented_[x] < last_rented_[y];
+  });
+  for (const auto& option : order) {
+    auto& groups = chosen.at(option);
     if (!rental_rate_.take(now)) break;
+    last_rented_[option] = now;
     // The token and a counter make the name: no other request ever bears it.
     Rental rental;
     rental.request = {"r-" + std::to_string(token_) + "-" + std::to_string(next_rental_++),
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -344,7 +344,6 @@
 void Controller::watch_machines(TimePoint now) {
   const auto& tuning = settings_.tuning;
   const bool heard_from_most = others_heard(now);
-  std::vector<MachineId> release;
   std::size_t up = 0;
   std::size_t silent = 0;
   int images_saved = 0;
@@ -384,11 +383,24 @@
       for (const auto& [key, assignment] : machine.tasks)
         if (!assignment.seen || assignment.stop) want_orders(machine);
     }
+  }
+  release_machines(now);
+  if (up >= 2 && silent == up && now - takeover_ > to_duration(tuning.silent_after * 1.5))
+    actions_.push_back(Resign{"no machine is heard from"});
+  std::erase_if(released_, [&](const auto& entry) { return now - entry.second > kRemembered; });
+}
+
+// Calls to the cloud are few a second: returns gather for as long as their share of them demands.
+void Controller::release_machines(TimePoint now) {
+  const auto gap = Seconds(1 / (kReleasesShare * settings_.cloud_calls_per_s));
+  if (now - last_release_ < to_duration(gap)) return;
+  std::vector<MachineId> release;
+  for (auto& [id, machine] : fleet_.all())
     if (machine.releasing && machine.release_retry && now >= *machine.release_retry) {
       machine.release_retry = now + kReleaseRetry;
       release.push_back(id);
     }
-  }
+  if (!release.empty()) last_release_ = now;
   for (std::size_t at = 0; at < release.size(); at += kMostReleased) {
     Release action;
     std::map<std::string, int> causes;
@@ -400,9 +412,6 @@
       action.cause += (action.cause.empty() ? "" : ", ") + std::to_string(count) + " " + cause;
     actions_.push_back(std::move(action));
   }
-  if (up >= 2 && silent == up && now - takeover_ > to_duration(tuning.silent_after * 1.5))
-    actions_.push_back(Resign{"no machine is heard from"});
-  std::erase_if(released_, [&](const auto& entry) { return now - entry.second > kRemembered; });
 }
 
 void Controller::release_answered(const std::vector<MachineId>& machines, bool ok, TimePoint now) {
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr milliseconds kTick{100};
-constexpr std::chrono::seconds kListEvery{5};
+constexpr std::chrono::seconds kListEvery{10};
+constexpr double kCloudCalls = 0.8;  // of the limit; the rest is for the list and the catalog
 
 // A machine's record takes at most this much of a page; images that would not fit are left out.
 constexpr std::size_t kMachineBytes = 260;
@@ -199,7 +200,7 @@
       settings_.teams,
       settings_.workers,
       tuning_,
-      settings_.cloud_requests_per_s * 0.4,
+      settings_.cloud_requests_per_s * kCloudCalls,
       settings_.cloud_list_lag,
       {},
       std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now())};
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -51,7 +51,7 @@
                 {[this] { won(); }, [this](const std::string&) { lost(); }, [] {}},
                 seed_of(settings_.member) + 1),
       cloud_(io, net::parse_endpoint(settings_.cloud_address),
-             settings_.cloud_requests_per_s * 0.8),
+             settings_.cloud_requests_per_s * 0.9),
       users_(io, store_, mirror_,
              {settings_.teams, settings_.zones,
               [this]() -> const std::vector<core::MachineType>& { return types_; },
