--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -90,6 +90,8 @@
   const std::unordered_map<JobId, Job>& jobs() const { return jobs_; }
   const Fleet& fleet() const { return fleet_; }
   bool recovering() const { return recovering_; }
+  // Machines looked at so far, each time counted; tests hold it against the events.
+  std::uint64_t looks() const { return looks_; }
   std::string summary() const;
 
  private:
@@ -191,6 +193,7 @@
 
   std::vector<Action> actions_;
   bool placing_wanted_ = true;
+  std::uint64_t looks_ = 0;
   TimePoint last_place_{};
   TimePoint last_scale_{};
   TimePoint last_persist_{};
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -290,6 +290,7 @@
   for (const bool holders_only : {true, false})
     for (const auto& candidate : queue)
       if (!packer.empty()) place_job(packer, candidate, holders_only, now);
+  looks_ += fleet_.all().size() + packer.looks();
   if (now - last_scale_ < to_duration(settings_.tuning.round)) return;
   auto left = leftovers(queue);
   if (left.empty()) return;
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -269,6 +269,7 @@
 void Controller::want_orders(Machine& machine) { orders_due_.insert(machine.id); }
 
 void Controller::send_orders(TimePoint now) {
+  looks_ += orders_due_.size();
   for (auto due = orders_due_.begin(); due != orders_due_.end();) {
     const auto& id = *due;
     auto* known = fleet_.find(id);
@@ -344,6 +345,7 @@
 void Controller::watch_machines(TimePoint now) {
   const auto& tuning = settings_.tuning;
   const bool heard_from_most = others_heard(now);
+  looks_ += fleet_.all().size();
   std::size_t up = 0;
   std::size_t silent = 0;
   int images_saved = 0;
--- a/src/core/packer.cpp
+++ b/src/core/packer.cpp
@@ -48,6 +48,7 @@
                                 const std::function<bool(const Machine&)>& may_use,
                                 int least_rank) {
   Choices out(*this, spec, estimate);
+  looks_ += offers_.size();
   for (std::size_t i = 0; i < offers_.size(); ++i) {
     const auto& machine = *offers_[i].machine;
     if (!spec.per_task.fits_in(machine.free())) continue;
@@ -88,6 +89,7 @@
 }
 
 Machine* Packer::Choices::best() {
+  packer_.looks_ += entries_.size();
   constexpr auto kNone = std::numeric_limits<std::size_t>::max();
   auto best = kNone;
   for (std::size_t i = 0; i < entries_.size();) {
--- a/src/core/packer.hpp
+++ b/src/core/packer.hpp
@@ -52,6 +52,9 @@
   // A task was placed outside of any choices.
   void placed(Machine& machine);
 
+  // How many machines were looked at, each time counted: what a round costs.
+  std::uint64_t looks() const { return looks_; }
+
  private:
   struct Offer {
     Machine* machine;
@@ -65,6 +68,7 @@
   TimePoint now_;
   double cheapest_per_cpu_ = std::numeric_limits<double>::infinity();
   std::vector<Offer> offers_;
+  std::uint64_t looks_ = 0;
 };
 
 // Free room as one figure, for "most free room" among machines of different types.
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,213 @@
+// Several hundred machines that come up in a wave, with the budgets of a small state service. What
+// is counted is operations, never time: neither writes nor work per event may grow with the fleet.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "core/controller.hpp"
+#include "store/paged_records.hpp"
+
+namespace violetpulley {
+namespace {
+
+using core::Seconds;
+using std::chrono::milliseconds;
+using store::Haste;
+
+struct Outcome {
+  std::uint64_t events = 0;  // reports, answers to orders, jobs
+  std::uint64_t looks = 0;
+  std::uint64_t changes = 0;  // of keys in the state service
+  std::size_t done = 0;
+  std::optional<Seconds> all_registered;
+};
+
+class Day {
+ public:
+  explicit Day(int machines)
+      : machines_(machines),
+        controller_(settings(), 7, now_, now_ + std::chrono::seconds(60), {}),
+        records_("machines/", 14000, milliseconds(2000)),
+        progress_("progress/", 14000, milliseconds(1500)) {
+    controller_.set_catalog(
+        {{"small", {16, 0, 128}, 60, 0.12, 1.1, 0.39, Seconds(30), {"a", "b"}}});
+  }
+
+  Outcome run() {
+    const auto start = now_;
+    for (int step = 0; step < 900; ++step) {
+      now_ += milliseconds(100);
+      // As many arrays as the fleet can run, so that a larger fleet has more to do each second.
+      if (step % 10 == 0 && step < 600)
+        for (int i = 0; i < machines_ / 50; ++i) submit();
+      if (step < machines_ && workers_.size() < static_cast<std::size_t>(machines_))
+        for (int i = 0; i < std::max(1, machines_ / 50); ++i) boot();
+      for (auto& [id, worker] : workers_) live(worker);
+      controller_.tick(now_, true);
+      for (auto& action : controller_.take_actions())
+        std::visit([&](auto& a) { carry_out(a); }, action);
+      write();
+      if (!outcome_.all_registered && registered_ == static_cast<std::size_t>(machines_))
+        outcome_.all_registered = Seconds(now_ - start);
+    }
+    outcome_.looks = controller_.looks();
+    return outcome_;
+  }
+
+ private:
+  struct Live {
+    core::Attempt attempt = 0;
+    core::TimePoint ends{};
+  };
+  struct Worker {
+    core::MachineId id;
+    std::uint64_t sequence = 0;
+    core::TimePoint next_report{};
+    std::map<core::TaskKey, Live> tasks;
+    std::map<core::TaskKey, core::Attempt> exited;
+  };
+
+  static core::ControllerSettings settings() {
+    core::ControllerSettings out;
+    out.teams = {{"blue", 0, 0, 0, 0}};
+    out.cloud_calls_per_s = 3;
+    return out;
+  }
+
+  void submit() {
+    core::JobRecord record;
+    record.spec.id = "req-" + std::to_string(100000 + jobs_++);
+    record.spec.job_class = "tiles";
+    record.spec.team = "blue";
+    record.spec.tasks = 20;
+    record.spec.per_task = {4, 0, 16};
+    record.spec.image = std::to_string(jobs_ % 12);
+    record.spec.image_gb = 1;
+    record.spec.spot_allowed = true;
+    record.spec.estimate = Seconds(9);
+    ++outcome_.events;
+    controller_.job_opened(record, now_);
+  }
+
+  void boot() {
+    const auto id = std::to_string(1000 + workers_.size());
+    workers_[id].id = id;
+    workers_[id].next_report = now_;
+  }
+
+  core::WorkerReport report_of(Worker& worker) {
+    core::WorkerReport report{worker.id, "10.0.0.1:1",      "small", "a", true,
+                              1,         ++worker.sequence, 7,       {},  {}};
+    for (const auto& [key, live] : worker.tasks)
+      report.tasks.push_back({key, live.attempt, core::TaskState::running, core::ExitCause::none});
+    for (const auto& [key, attempt] : worker.exited)
+      report.tasks.push_back({key, attempt, core::TaskState::exited, core::ExitCause::done});
+    return report;
+  }
+
+  void live(Worker& worker) {
+    for (auto task = worker.tasks.begin(); task != worker.tasks.end();) {
+      if (now_ < task->second.ends) {
+        ++task;
+        continue;
+      }
+      worker.exited[task->first] = task->second.attempt;
+      worker.next_report = now_;
+      task = worker.tasks.erase(task);
+    }
+    if (now_ < worker.next_report) return;
+    worker.next_report = now_ + std::chrono::seconds(5);
+    ++outcome_.events;
+    controller_.report(report_of(worker), now_);
+    for (const auto& command : controller_.response_commands(worker.id)) execute(worker, command);
+  }
+
+  void execute(Worker& worker, const core::Command& command) {
+    if (command.verb == core::Verb::forget) worker.exited.erase(command.task);
+    if (command.verb == core::Verb::start)
+      worker.tasks.try_emplace(command.task, Live{command.attempt, now_ + std::chrono::seconds(9)});
+  }
+
+  void carry_out(core::SendOrders& orders) {
+    auto& worker = workers_.at(orders.machine);
+    for (const auto& command : orders.commands) execute(worker, command);
+    ++outcome_.events;
+    const auto report = report_of(worker);
+    controller_.orders_answered(worker.id, &report, now_);
+  }
+  void carry_out(core::SaveMachine& save) {
+    records_.put(save.record.id, store::Json{save.record.endpoint}, 260,
+                 save.only_images ? Haste::lazy : Haste::soon, now_,
+                 [this, id = save.record.id, again = save.only_images] {
+                   if (!again) ++registered_;
+                   controller_.machine_saved(id, true, true);
+                 });
+  }
+  void carry_out(core::SaveProgress& save) {
+    progress_.put(save.record.job, store::Json::array(), 60, Haste::lazy, now_,
+                  [this, save] { controller_.progress_saved(save, true); });
+  }
+  void carry_out(core::FinishJob& finish) {
+    outcome_.changes += 2;
+    ++outcome_.done;
+    progress_.erase(finish.job, now_);
+    controller_.job_closed(finish.job, now_);
+  }
+  void carry_out(core::Rent& rent) {
+    controller_.rental_answered(rent.name, {core::RentalAnswer::Kind::no_capacity, {}}, now_);
+  }
+  template <typename Other>
+  void carry_out(Other&) {}
+
+  // One transaction of at most 12 changes each 400 ms: 30 changes a second.
+  void write() {
+    if (now_ < next_write_) return;
+    next_write_ = now_ + milliseconds(400);
+    std::size_t left = 12;
+    for (auto* book : {&records_, &progress_}) {
+      store::PagedRecords::Batch batch;
+      book->take(now_, left, 52 * 1024, batch);
+      left -= batch.writes.size();
+      outcome_.changes += batch.writes.size();
+      book->committed(batch, ++revision_);
+    }
+  }
+
+  int machines_;
+  core::TimePoint now_ = core::TimePoint{} + std::chrono::hours(1);
+  core::TimePoint next_write_{};
+  core::Controller controller_;
+  store::PagedRecords records_;
+  store::PagedRecords progress_;
+  std::map<core::MachineId, Worker> workers_;
+  std::size_t registered_ = 0;
+  std::uint64_t revision_ = 10;
+  int jobs_ = 0;
+  Outcome outcome_;
+};
+
+// Found when the deployments grew: one key a machine and one progress change a second for every
+// running array kept machines unregistered for minutes; looks at the whole fleet for every waiting
+// task used up the processor.
+TEST(Scale, WritesAndWorkPerEventDoNotGrowWithTheFleet) {
+  const auto few = Day(100).run();
+  const auto many = Day(600).run();
+  ASSERT_GT(few.done, 50U);
+  EXPECT_GT(many.done, few.done * 5);
+  // All machines are registered soon after the wave (5 s of boots), however many they are.
+  ASSERT_TRUE(few.all_registered && many.all_registered);
+  EXPECT_LT(*many.all_registered, Seconds(10));
+  // Pages: six times the machines and arrays take far fewer than six times the changes, beyond the
+  // two that each finished job needs.
+  const auto paged = [](const Outcome& o) { return o.changes - 2 * o.done; };
+  EXPECT_LT(paged(many), paged(few) * 4);
+  EXPECT_LT(paged(many), 90U * 15) << "a second's share of the budget";
+  const auto per_event = [](const Outcome& o) {
+    return static_cast<double>(o.looks) / static_cast<double>(o.events);
+  };
+  EXPECT_LT(per_event(many), per_event(few) * 2.5);
+  EXPECT_LT(per_event(many), 60);
+}
+
+}  // namespace
+}  // namespace violetpulley
