A leader that refuses connections as all siblings do is not taken for dead

The sign now counts only while another sibling is still connected 0.1 s later; otherwise the hold's 3 s decide. Cost: with three nodes, two that end together are noticed 3 s later.

--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -2,6 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <utility>
+
 #include "net/http_client.hpp"
 
 namespace violetpulley::mesh {
@@ -28,6 +31,10 @@
   return object.as<Status>();
 }
 
+namespace {
+constexpr std::chrono::milliseconds kSuspicion{100};
+}
+
 // The connection to one sibling: connects, sends the newest status, connects again.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
  public:
@@ -48,7 +55,7 @@
       if (error) {
         if (error == asio::error::connection_refused && self->was_closed_) {
           self->was_closed_ = false;
-          self->mesh_->events_.gone(self->sibling_.member);
+          self->mesh_->suspect(self->sibling_.member);
         }
         return self->again();
       }
@@ -78,6 +85,8 @@
                       });
   }
 
+  bool connected() const { return connected_; }
+
   void detach() {
     mesh_ = nullptr;
     timer_.cancel();
@@ -187,7 +196,7 @@
 
 Mesh::Mesh(asio::io_context& io, const tcp::endpoint& at,
            const std::vector<config::Sibling>& siblings, Events events)
-    : io_(io), acceptor_(io, at), events_(std::move(events)) {
+    : io_(io), acceptor_(io, at), suspicion_timer_(io), events_(std::move(events)) {
   for (const auto& sibling : siblings) {
     links_.push_back(std::make_shared<PeerLink>(*this, sibling));
     links_.back()->connect();
@@ -214,6 +223,26 @@
   });
 }
 
+// A refused connection does not prove that a process has ended: a filter between the nodes refuses
+// all of them at once. So the sign counts only while another sibling is still connected a moment
+// later; a wrong one costs a takeover of the whole fleet, and waiting for the hold only its rest.
+void Mesh::suspect(const std::string& member) {
+  suspected_.insert(member);
+  suspicion_timer_.expires_after(kSuspicion);
+  suspicion_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
+    if (!*alive || error) return;
+    const auto suspected = std::exchange(suspected_, {});
+    const bool others = std::any_of(links_.begin(), links_.end(),
+                                    [](const auto& link) { return link->connected(); });
+    for (const auto& member : suspected) {
+      if (others || links_.size() == 1)
+        events_.gone(member);
+      else
+        spdlog::info("{} refuses connections, as all siblings do: not taken as its end", member);
+    }
+  });
+}
+
 void Mesh::broadcast(const Status& status) {
   const auto frame = encode(status);
   for (const auto& link : links_) link->send(frame);
--- a/src/mesh/mesh.hpp
+++ b/src/mesh/mesh.hpp
@@ -45,7 +45,8 @@
  public:
   struct Events {
     std::function<void(const Status&)> heard;
-    // The sibling closed its connection and refuses new ones: its process has most likely ended.
+    // The sibling closed its connection and refuses new ones while another one is connected: its
+    // process has most likely ended.
     std::function<void(const std::string& member)> gone;
   };
 
@@ -61,9 +62,12 @@
   friend class PeerLink;
   friend class PeerSession;
   void accept();
+  void suspect(const std::string& member);
 
   asio::io_context& io_;
   asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer suspicion_timer_;
+  std::set<std::string> suspected_;
   Events events_;
   std::vector<std::shared_ptr<PeerLink>> links_;
   std::set<std::shared_ptr<PeerSession>> sessions_;
--- /dev/null
+++ b/tests/mesh_test.cpp
@@ -0,0 +1,64 @@
+// When a sibling counts as gone. Real sockets on loopback.
+#include "mesh/mesh.hpp"
+
+#include <gtest/gtest.h>
+
+namespace violetpulley::mesh {
+namespace {
+
+asio::ip::tcp::endpoint free_port(asio::io_context& io) {
+  asio::ip::tcp::acceptor probe(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
+  return probe.local_endpoint();
+}
+
+struct Three {
+  asio::io_context io;
+  std::array<asio::ip::tcp::endpoint, 3> at{free_port(io), free_port(io), free_port(io)};
+  std::array<std::unique_ptr<Mesh>, 3> nodes;
+  std::set<std::string> heard;
+  std::set<std::string> gone;  // as node 0 sees it
+
+  Three() {
+    for (std::size_t i = 0; i < 3; ++i) {
+      std::vector<config::Sibling> siblings;
+      for (std::size_t j = 0; j < 3; ++j)
+        if (j != i)
+          siblings.push_back({std::to_string(j), "", "127.0.0.1:" + std::to_string(at[j].port())});
+      Mesh::Events events{[](const Status&) {}, [](const std::string&) {}};
+      if (i == 0)
+        events = {[this](const Status& status) { heard.insert(status.member); },
+                  [this](const std::string& member) { gone.insert(member); }};
+      nodes[i] = std::make_unique<Mesh>(io, at[i], siblings, events);
+    }
+    while (heard.size() < 2) {
+      for (std::size_t i = 1; i < 3; ++i) {
+        Status status;
+        status.member = std::to_string(i);
+        nodes[i]->broadcast(status);
+      }
+      io.run_one();
+      io.poll();
+    }
+    io.run_for(std::chrono::milliseconds(1000));  // links that came too early connect again
+  }
+};
+
+TEST(Mesh, ASiblingThatEndsAloneIsGone) {
+  Three mesh;
+  mesh.nodes[1].reset();
+  for (int i = 0; i < 100 && mesh.gone.empty(); ++i) mesh.io.run_for(std::chrono::milliseconds(50));
+  EXPECT_EQ(mesh.gone, (std::set<std::string>{"1"}));
+}
+
+// Found in an incident: a filter between the controllers reset and refused all their connections,
+// both followers took the leader for dead and ended its hold, and the whole fleet was taken over.
+TEST(Mesh, SiblingsThatAllRefuseAreNotTakenForGone) {
+  Three mesh;
+  mesh.nodes[1].reset();
+  mesh.nodes[2].reset();
+  mesh.io.run_for(std::chrono::milliseconds(1200));
+  EXPECT_TRUE(mesh.gone.empty());
+}
+
+}  // namespace
+}  // namespace violetpulley::mesh
