--- a/src/agent/orders_sender.cpp
+++ b/src/agent/orders_sender.cpp
@@ -12,8 +12,20 @@
 constexpr std::size_t kMostCommands = 500;
 }  // namespace
 
+// Closes the idle line that was used longest ago.
+void OrdersSender::make_room() {
+  auto oldest = lines_.end();
+  for (auto line = lines_.begin(); line != lines_.end(); ++line)
+    if (line->second.client->idle() &&
+        (oldest == lines_.end() || line->second.used < oldest->second.used))
+      oldest = line;
+  if (oldest != lines_.end()) lines_.erase(oldest);
+}
+
 void OrdersSender::send(const core::SendOrders& orders) {
+  if (lines_.size() >= most_lines_ && !lines_.contains(orders.machine)) make_room();
   auto& line = lines_[orders.machine];
+  line.used = ++sends_;
   if (!line.client || line.endpoint != orders.endpoint) {
     try {
       line.client =
--- a/src/agent/orders_sender.hpp
+++ b/src/agent/orders_sender.hpp
@@ -1,4 +1,5 @@
-// Commands straight to the workers: one client per machine, kept while the machine is in use.
+// Commands straight to the workers: one client per machine, kept while it is among the last used.
+// The sockets of a controller are limited, and a large fleet's reports already take one a machine.
 #pragma once
 
 #include <map>
@@ -13,19 +14,24 @@
   // No report: no answer, or nonsense.
   using Answered = std::function<void(const core::MachineId&, const core::WorkerReport*)>;
 
-  OrdersSender(asio::io_context& io, core::Token token, Answered answered)
-      : io_(io), token_(token), answered_(std::move(answered)) {}
+  OrdersSender(asio::io_context& io, core::Token token, std::size_t most_lines, Answered answered)
+      : io_(io), token_(token), most_lines_(most_lines), answered_(std::move(answered)) {}
 
   void send(const core::SendOrders& orders);
   void drop(const core::MachineId& machine);
+  std::size_t lines() const { return lines_.size(); }
 
  private:
   struct Line {
     std::string endpoint;
     std::unique_ptr<net::HttpClient> client;
+    std::uint64_t used = 0;  // the larger, the later
   };
+  void make_room();
   asio::io_context& io_;
   core::Token token_;
+  std::size_t most_lines_;
+  std::uint64_t sends_ = 0;
   Answered answered_;
   std::map<core::MachineId, Line> lines_;
 };
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -18,6 +18,11 @@
 constexpr std::chrono::seconds kListEvery{10};
 constexpr double kCloudCalls = 0.8;  // of the limit; the rest is for the list and the catalog
 
+// Reports take a socket a machine, users and siblings theirs.
+std::size_t most_order_lines(const config::Settings& settings) {
+  return std::max<std::size_t>(16, settings.max_sockets * 3 / 10);
+}
+
 // A machine's record takes at most this much of a page; images that would not fit are left out.
 constexpr std::size_t kMachineBytes = 260;
 
@@ -121,7 +126,7 @@
       token_(leadership.token()),
       won_at_(Clock::now()),
       writer_(store, token_, settings.state_changes_per_transaction, page_bytes(settings)),
-      orders_(io, token_,
+      orders_(io, token_, most_order_lines(settings),
               [this, alive = alive_](const core::MachineId& id, const core::WorkerReport* report) {
                 if (!*alive || !controller_) return;
                 controller_->orders_answered(id, report, Clock::now());
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -27,6 +27,9 @@
   // end.
   void request(Request request, std::chrono::milliseconds timeout, ResponseHandler handler);
 
+  // Nothing is under way: ending the client loses no answer.
+  bool idle() const { return queue_.empty() && busy_.empty(); }
+
  private:
   friend class ClientConnection;
   struct Waiting {
