Serve services: an endless bin of their own, spread kept in rentals, guarantees in GPUs

Replicas count as endless, which gives them a bin above all others; machines that hold one are neither empty nor cleared, and other work fills what they leave. A spread job's share of a zone is kept when machines are rented for it, and zones of equal price take turns. Waiting for a holder of the image applies only where the fetch is over 0.3 of the work.

--- a/src/agent/agent_codec.cpp
+++ b/src/agent/agent_codec.cpp
@@ -110,6 +110,8 @@
     entry.state = parse_state(item.at("status").get<std::string>());
     if (entry.state == TaskState::exited)
       entry.cause = parse_cause(item.at("cause").get<std::string>());
+    const auto stored = item.find("stored");
+    entry.stored = stored != item.end() && stored->is_boolean() && stored->get<bool>();
     report.tasks.push_back(std::move(entry));
   }
   return report;
--- a/src/api/job_codec.cpp
+++ b/src/api/job_codec.cpp
@@ -158,14 +158,17 @@
                                       const std::vector<core::Team>& teams,
                                       const std::vector<core::MachineType>& types,
                                       const std::vector<std::string>& zones) {
-  if (spec.shape != Shape::array)
-    return std::string("shape ") + label_of(spec.shape, kShapes) + " is not served by this version";
+  if (spec.shape == Shape::gang) return "gangs are not served by this version";
   const auto team = std::find_if(teams.begin(), teams.end(),
                                  [&](const core::Team& t) { return t.name == spec.team; });
   if (team == teams.end()) return "unknown team " + spec.team;
-  if ((team->max_cpus > 0 && spec.per_task.cpus > team->max_cpus + core::Resources::kSlack) ||
-      (team->max_gpus > 0 && spec.per_task.gpus > team->max_gpus + core::Resources::kSlack))
-    return "a task needs more than the limit of team " + spec.team;
+  // An array runs within the limit task by task; the tasks of gangs and services run together.
+  const bool together = spec.shape != Shape::array;
+  const auto needed = spec.per_task * (together ? static_cast<double>(spec.tasks) : 1.0);
+  if ((team->max_cpus > 0 && needed.cpus > team->max_cpus + core::Resources::kSlack) ||
+      (team->max_gpus > 0 && needed.gpus > team->max_gpus + core::Resources::kSlack))
+    return (together ? "the job needs" : "a task needs") +
+           std::string(" more than the limit of team ") + spec.team;
   if (spec.zone && std::find(zones.begin(), zones.end(), *spec.zone) == zones.end())
     return "unknown zone " + *spec.zone;
   const bool fits = std::any_of(types.begin(), types.end(), [&](const core::MachineType& type) {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -141,6 +141,8 @@
   bool within_limit(const JobSpec& spec) const;
   using ZoneUse = std::map<std::string, TaskIndex>;
   ZoneUse zone_use(const Job& job) const;
+  ZoneUse zone_claims(const Job& job) const;
+  Seconds estimate_left(const Task& task, const JobSpec& spec) const;
   Resources uncertain_use() const;
   struct Candidate;
   std::vector<Candidate> waiting_jobs(TimePoint now);
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -15,6 +15,14 @@
 constexpr std::chrono::minutes kNarrowRemembered{5};
 constexpr std::chrono::seconds kReservationPatience{20};
 
+// A fetch under this part of the work is not worth waiting for a machine that holds the image.
+constexpr double kFetchThatCounts = 0.3;
+
+Resources limit_of(const Team& team) {
+  const double none = std::numeric_limits<double>::infinity();
+  return {team.max_cpus > 0 ? team.max_cpus : none, team.max_gpus > 0 ? team.max_gpus : none, none};
+}
+
 Seconds fetch_time(const JobSpec& spec, double gb_per_s) {
   return gb_per_s > 0 ? Seconds(spec.image_gb / gb_per_s) : Seconds(0);
 }
@@ -42,11 +50,7 @@
 bool Controller::within_limit(const JobSpec& spec) const {
   const auto found = teams_.find(spec.team);
   if (found == teams_.end()) return false;
-  const auto& team = found->second;
-  if (team.max_cpus <= 0 && team.max_gpus <= 0) return true;
-  const auto use = fleet_.team_use(spec.team) + uncertain_ + spec.per_task;
-  return (team.max_cpus <= 0 || use.cpus <= team.max_cpus + Resources::kSlack) &&
-         (team.max_gpus <= 0 || use.gpus <= team.max_gpus + Resources::kSlack);
+  return (fleet_.team_use(spec.team) + uncertain_ + spec.per_task).fits_in(limit_of(found->second));
 }
 
 // Where every task of the job possibly is, for same_zone and spread; empty for other jobs.
@@ -60,6 +64,21 @@
   return use;
 }
 
+// The same with the tasks that wait for machines which boot or are being rented.
+Controller::ZoneUse Controller::zone_claims(const Job& job) const {
+  auto use = zone_use(job);
+  if (!job.spec().spread) return use;
+  for (const auto index : job.waiting) {
+    const auto& bound = job.tasks[index].bound;
+    if (bound.empty()) continue;
+    if (const auto* machine = fleet_.find(bound))
+      ++use[machine->zone];
+    else if (const auto rental = rentals_.find(bound); rental != rentals_.end())
+      ++use[rental->second.request.zone];
+  }
+  return use;
+}
+
 namespace {
 
 bool zone_allowed(const JobSpec& spec, const std::map<std::string, TaskIndex>& use,
@@ -88,7 +107,8 @@
   assignment.team = spec.team;
   assignment.job_class = spec.job_class;
   assignment.image = spec.image;
-  assignment.estimate = estimator_.estimate(spec);
+  assignment.shape = spec.shape;
+  assignment.estimate = estimate_left(task, spec);
   assignment.placed = now;
   if (image_rank(machine, spec.image) < 2)
     assignment.fetch = fetch_time(spec, machine.fetch_gb_per_s);
@@ -100,6 +120,11 @@
   return true;
 }
 
+// What is left of a task, as far as saves tell.
+Seconds Controller::estimate_left(const Task& task, const JobSpec& spec) const {
+  return remaining_run_time(estimator_.estimate(spec), task.saved);
+}
+
 Seconds Controller::longest_fetch(const JobSpec& spec) const {
   Seconds longest{0};
   for (const auto& [name, type] : types_)
@@ -162,6 +187,18 @@
   return types;
 }
 
+namespace {
+
+// Whether a team's guarantee covers this use: a guarantee may be in processors, in GPUs or in both.
+bool covers(const Team& team, const Resources& use) {
+  const bool cpus = team.guaranteed_cpus > 0 || team.guaranteed_gpus > 0;
+  return cpus &&
+         (team.guaranteed_cpus <= 0 || use.cpus <= team.guaranteed_cpus + Resources::kSlack) &&
+         use.gpus <= team.guaranteed_gpus + Resources::kSlack;
+}
+
+}  // namespace
+
 struct Controller::Candidate {
   Job* job;
   Seconds estimate;
@@ -183,18 +220,19 @@
            std::tie(b->record.submitted, b->spec().id);
   });
   std::vector<Candidate> queue;
-  std::map<std::string, double> claimed;
+  std::map<std::string, Resources> claimed;
   for (auto* job : by_age) {
     const auto& spec = job->spec();
     const auto team = teams_.find(spec.team);
-    auto& claim = claimed.try_emplace(spec.team, fleet_.team_use(spec.team).cpus).first->second;
-    const auto waiting = spec.per_task.cpus * static_cast<double>(job->waiting.size());
+    auto& claim = claimed.try_emplace(spec.team, fleet_.team_use(spec.team)).first->second;
+    const auto waiting = spec.per_task * static_cast<double>(job->waiting.size());
     claim += waiting;
-    const bool guaranteed =
-        team != teams_.end() && claim <= team->second.guaranteed_cpus + Resources::kSlack;
-    const auto estimate = estimator_.estimate(spec);
-    const bool hopeless = !std::isfinite(time_left(*job, now).count());
-    queue.push_back({job, estimate, guaranteed, hopeless, estimate.count() * waiting});
+    const bool guaranteed = team != teams_.end() && covers(team->second, claim);
+    const auto estimate = estimate_left(job->tasks[*job->waiting.begin()], spec);
+    // A service has no time to be done by.
+    const bool hopeless = !job->service() && !std::isfinite(time_left(*job, now).count());
+    const double size = spec.per_task.gpus > 0 ? waiting.gpus : waiting.cpus;
+    queue.push_back({job, estimate, guaranteed, hopeless, estimate.count() * size});
   }
   // The design's order is longest first. Before it come priority, for the deadlines, and work
   // within a team's guarantee (docs/design.md, "Order of the queue").
@@ -234,7 +272,10 @@
   auto& job = *candidate.job;
   const auto& spec = job.spec();
   if (job.waiting.empty() || !within_limit(spec)) return;
-  const bool waited = now - job.opened > to_duration(longest_fetch(spec) * 0.3);
+  // Waiting for a machine that holds the image pays only where the fetch is long against the work.
+  const auto fetch = longest_fetch(spec);
+  const bool waited = fetch < candidate.estimate * kFetchThatCounts ||
+                      now - job.opened > to_duration(fetch * 0.3);
   const int least_rank = holders_only && !waited ? 1 : 0;
   const bool patient = narrow_waits_ || now - job.opened < kReservationPatience;
   const auto barred = patient ? types_for_others(spec) : std::vector<std::string>{};
@@ -301,25 +342,33 @@
 // The tasks that found no room and are not bound yet, in the order of the queue.
 std::vector<ScalerJob> Controller::leftovers(const std::vector<Candidate>& queue) const {
   std::vector<ScalerJob> left;
-  std::map<std::string, double> room;  // tasks that could not start anyway must not rent machines
+  std::map<std::string, Resources> room;  // tasks that could not start must not rent machines
   for (const auto& candidate : queue) {
     const auto& job = *candidate.job;
     const auto& spec = job.spec();
     const auto known = teams_.find(spec.team);
     if (known == teams_.end()) continue;
     const auto& team = known->second;
-    auto& free = room.try_emplace(spec.team, team.max_cpus <= 0
-                                                 ? std::numeric_limits<double>::infinity()
-                                                 : team.max_cpus - fleet_.team_use(spec.team).cpus -
-                                                       uncertain_.cpus)
+    auto& free = room.try_emplace(spec.team, limit_of(team) - fleet_.team_use(spec.team) -
+                                                 uncertain_)
                      .first->second;
-    ScalerJob entry{&spec, candidate.estimate, {}};
+    ScalerJob entry{&spec, candidate.estimate, {}, {}};
     for (const auto index : job.waiting) {
-      if (free + Resources::kSlack < spec.per_task.cpus) break;
-      free -= spec.per_task.cpus;
+      if (!spec.per_task.fits_in(free)) break;
+      free -= spec.per_task;
       if (!job.tasks[index].bound.empty()) continue;
       entry.tasks.push_back(index);
     }
+    if (spec.spread) {
+      const auto claims = zone_claims(job);
+      for (const auto& [name, type] : types_)
+        for (const auto& zone : type.zones) {
+          const auto claimed = claims.find(zone);
+          const TaskIndex here = claimed == claims.end() ? 0 : claimed->second;
+          const TaskIndex most = (spec.tasks + 1) / 2;
+          entry.zone_room[zone] = most > here ? most - here : 0;
+        }
+    }
     if (!entry.tasks.empty()) left.push_back(std::move(entry));
   }
   return left;
@@ -335,6 +384,14 @@
         const double price = spot ? type.spot_price : type.price;
         if (price > 0) options.push_back({&type, zone, spot, price});
       }
+  // Of options that score alike the first one is chosen: zones take turns.
+  std::stable_sort(options.begin(), options.end(), [&](const auto& x, const auto& y) {
+    const auto last = [&](const RentalOption& option) {
+      const auto found = last_rented_.find({option.type->name, option.zone, option.spot});
+      return found == last_rented_.end() ? TimePoint{} : found->second;
+    };
+    return last(x) < last(y);
+  });
   return options;
 }
 
@@ -462,7 +519,12 @@
       continue;
     }
     machine.idle_since.reset();
-    if (!underused(machine, tuning.clearing_use)) {
+    // Other work fills what replicas leave free; moving one costs replica time, and moving one task
+    // of a gang stops them all (docs/design.md, "Services", "Gangs").
+    const bool stays = std::any_of(machine.tasks.begin(), machine.tasks.end(), [](const auto& t) {
+      return t.second.shape != Shape::array;
+    });
+    if (stays || !underused(machine, tuning.clearing_use)) {
       machine.underused_since.reset();
       continue;
     }
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -155,7 +155,7 @@
   auto& job = found->second;
   auto& task = job.tasks[entry.task.index];
   if (entry.state == TaskState::exited) {
-    if (entry.cause == ExitCause::done && task.phase == Phase::waiting) {
+    if (entry.cause == ExitCause::done && task.phase == Phase::waiting && !job.service()) {
       task_done(job, entry.task.index);
       progress_changed(job, entry.task.index);
     }
@@ -168,7 +168,8 @@
   assignment.team = job.spec().team;
   assignment.job_class = job.spec().job_class;
   assignment.image = job.spec().image;
-  assignment.estimate = estimator_.estimate(job.spec());
+  assignment.shape = job.spec().shape;
+  assignment.estimate = estimate_left(task, job.spec());
   assignment.placed = now;
   assignment.state = entry.state;
   assignment.seen = true;
@@ -188,6 +189,12 @@
   if (found == jobs_.end()) return;
   auto& job = found->second;
   const auto index = entry.task.index;
+  if (entry.cause == ExitCause::done && job.service()) {
+    // A replica runs until its job is cancelled; one that ends by itself is replaced, with a pause.
+    job.set_waiting(index);
+    job.backoff_until = std::max(job.backoff_until, now + std::chrono::seconds(1));
+    return;
+  }
   if (entry.cause == ExitCause::done) {
     if (assignment.running_since && !assignment.stop)
       estimator_.finished(job.spec(), now - *assignment.running_since);
@@ -228,6 +235,7 @@
   if (machine.in_doubt.contains(entry.attempt)) return false;
   if (entry.cause != ExitCause::done) return true;
   const auto found = jobs_.find(entry.task.job);
+  if (found != jobs_.end() && found->second.service()) return true;
   if (found == jobs_.end() || entry.task.index >= found->second.tasks.size()) return true;
   return found->second.tasks[entry.task.index].persisted;
 }
--- a/src/core/estimator.hpp
+++ b/src/core/estimator.hpp
@@ -14,6 +14,7 @@
 class Estimator {
  public:
   void finished(const JobSpec& spec, Seconds ran) {
+    if (spec.shape == Shape::service) return;
     if (spec.estimate <= Seconds(0) || ran <= Seconds(0)) return;
     auto& average = averages_[spec.job_class];
     average.count = std::min(average.count + 1, 50);
@@ -22,6 +23,7 @@
   }
 
   Seconds estimate(const JobSpec& spec) const {
+    if (spec.shape == Shape::service) return kEndless;
     const auto known = averages_.find(spec.job_class);
     const bool trusted = known != averages_.end() && known->second.count >= 5;
     return spec.estimate * (trusted ? known->second.ratio : 1.0);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -17,6 +17,7 @@
   std::string team;
   std::string job_class;
   std::string image;
+  Shape shape = Shape::array;
   Seconds estimate{0};
   Seconds fetch{0};  // expected image fetch when placed
   TimePoint placed{};
@@ -25,6 +26,7 @@
   bool seen = false;       // reported by the worker under this attempt
   bool stop = false;       // must go
   bool abandoned = false;  // its job has ended; nothing waits for it
+  Seconds grace{0};        // for saving, when it is stopped
   std::optional<TimePoint> stop_since;
 };
 
@@ -68,6 +70,7 @@
   std::optional<TimePoint> release_retry;
   std::optional<TimePoint> underused_since;
   std::optional<TimePoint> idle_since;
+  JobId reserved_for;  // a gang that collects machines; nothing else may start here
   int errors = 0;
   std::set<JobId> error_jobs;
 
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -16,6 +16,7 @@
   bool persisted = false;  // its end is in the store
   MachineId machine;       // when assigned
   std::string bound;       // rental or booting machine that it waits for
+  Seconds saved{0};        // run time that a restart need not repeat
 };
 
 struct Job {
@@ -34,12 +35,15 @@
   std::set<MachineId> failed_on;
   int failures = 0;
   TimePoint backoff_until{};
+  Attempt attempt = 0;  // of a gang whose tasks are on machines: they share it
 
   explicit Job(JobRecord r) : record(std::move(r)), tasks(record.spec.tasks) {
     for (TaskIndex i = 0; i < record.spec.tasks; ++i) waiting.insert(waiting.end(), i);
   }
 
   const JobSpec& spec() const { return record.spec; }
+  bool gang() const { return record.spec.shape == Shape::gang; }
+  bool service() const { return record.spec.shape == Shape::service; }
   bool complete() const { return done == tasks.size(); }
 
   void set_waiting(TaskIndex index) {
--- a/src/core/scaler.cpp
+++ b/src/core/scaler.cpp
@@ -57,6 +57,12 @@
   }
 }
 
+std::size_t Scaler::most_in(const ScalerJob& job, const std::string& zone) {
+  if (job.zone_room.empty()) return job.tasks.size();
+  const auto room = job.zone_room.find(zone);
+  return room == job.zone_room.end() ? 0 : std::min<std::size_t>(job.tasks.size(), room->second);
+}
+
 std::optional<RentalChoice> Scaler::choose() const {
   std::optional<RentalChoice> best;
   for (std::size_t at = 0; at < options_.size(); ++at) {
@@ -70,7 +76,8 @@
       const auto& job = leftovers_[i];
       if (job.tasks.empty() || !rentable_[at][i]) continue;
       group.push_back({i, 0});
-      for (std::size_t n = 0; n < job.tasks.size(); ++n) {
+      const auto most = most_in(job, option.zone);
+      for (std::size_t n = 0; n < most; ++n) {
         const auto grown = used + job.spec->per_task;
         full = !grown.fits_in(option.type->capacity);
         if (full) break;
@@ -92,6 +99,8 @@
       out.push_back({job.spec->id, job.tasks.back()});
       job.tasks.pop_back();
     }
+    if (!job.zone_room.empty())
+      job.zone_room[options_[choice.option].zone] -= static_cast<TaskIndex>(part.tasks);
   }
   return out;
 }
@@ -110,7 +119,7 @@
 
 bool Scaler::repeats(const RentalChoice& choice) const {
   return std::all_of(choice.group.begin(), choice.group.end(), [&](const GroupPart& part) {
-    return leftovers_[part.job].tasks.size() >= part.tasks;
+    return most_in(leftovers_[part.job], options_[choice.option].zone) >= part.tasks;
   });
 }
 
--- a/src/core/scaler.hpp
+++ b/src/core/scaler.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 
 #include "core/types.hpp"
 
@@ -15,6 +16,7 @@
   const JobSpec* spec = nullptr;
   Seconds estimate{0};
   std::vector<TaskIndex> tasks;
+  std::map<std::string, TaskIndex> zone_room{};  // how many more a zone may take; empty: any number
 };
 
 struct RentalOption {
@@ -46,6 +48,9 @@
 
 class Scaler {
  public:
+  // How many tasks of a job may go to a zone.
+  static std::size_t most_in(const ScalerJob& job, const std::string& zone);
+
   // `leftovers` are sorted by falling estimate.
   Scaler(
       std::vector<ScalerJob> leftovers, std::vector<RentalOption> options,
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -58,6 +58,10 @@
 };
 
 enum class Shape { array, gang, service };
+
+// Replicas run until their job is cancelled: in place of an estimate they count as endless, which
+// gives them a bin of their own above all others (docs/design.md, "Services").
+inline constexpr Seconds kEndless{1e7};
 enum class Priority { idle, normal, high, production };
 
 struct JobSpec {
@@ -122,6 +126,7 @@
   Attempt attempt = 0;
   TaskState state = TaskState::fetching;
   ExitCause cause = ExitCause::none;
+  bool stored = false;  // its progress was saved when it was stopped
 };
 
 struct WorkerReport {
