--- a/src/api/job_codec.cpp
+++ b/src/api/job_codec.cpp
@@ -158,7 +158,6 @@
                                       const std::vector<core::Team>& teams,
                                       const std::vector<core::MachineType>& types,
                                       const std::vector<std::string>& zones) {
-  if (spec.shape == Shape::gang) return "gangs are not served by this version";
   const auto team = std::find_if(teams.begin(), teams.end(),
                                  [&](const core::Team& t) { return t.name == spec.team; });
   if (team == teams.end()) return "unknown team " + spec.team;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -1,6 +1,7 @@
 #include "core/controller.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace violetpulley::core {
@@ -98,17 +99,28 @@
   }
   progress_dirty_.erase(id);
   complete_.erase(id);
+  rooms_.close(fleet_, id);
   jobs_.erase(found);
   placing_wanted_ = true;
 }
 
 // The assignment ends: nothing of it is on the machine any more.
-void Controller::drop(Machine& machine, const TaskKey& key) {
+void Controller::drop(Machine& machine, const TaskKey& key, TimePoint now, bool stored) {
   const auto assignment = machine.tasks.find(key);
   if (assignment == machine.tasks.end()) return;
-  if (assignment->second.running_since && !assignment->second.abandoned) {
-    const auto job = jobs_.find(key.job);
-    if (job != jobs_.end() && job->second.running > 0) --job->second.running;
+  const auto found = jobs_.find(key.job);
+  if (assignment->second.running_since && !assignment->second.abandoned && found != jobs_.end()) {
+    auto& job = found->second;
+    if (job.running > 0) --job.running;
+    // What a restart need not repeat. Tasks of a gang save together.
+    auto& saved = job.tasks[job.gang() ? 0 : key.index].saved;
+    const auto until = assignment->second.stop_since.value_or(now);
+    const Seconds ran = assignment->second.saved + Seconds(until - *assignment->second.running_since);
+    const auto mark = job.spec().checkpoint_every;
+    if (stored)
+      saved = std::max(saved, ran);
+    else if (mark > Seconds(0))
+      saved = std::max(saved, mark * std::floor(ran / mark));
   }
   fleet_.unassign(machine, key);
 }
@@ -127,14 +139,15 @@
   const auto found = jobs_.find(key.job);
   if (found == jobs_.end() || key.index >= found->second.tasks.size()) return;
   found->second.set_waiting(key.index);
+  if (found->second.gang()) broken_gangs_.insert(key.job);
   placing_wanted_ = true;
 }
 
-void Controller::lose_all(Machine& machine) {
+void Controller::lose_all(Machine& machine, TimePoint now) {
   while (!machine.tasks.empty()) {
     const auto key = machine.tasks.begin()->first;
     const bool abandoned = machine.tasks.begin()->second.abandoned;
-    drop(machine, key);
+    drop(machine, key, now);
     if (!abandoned) task_lost(key);
   }
   machine.reported.clear();
@@ -148,6 +161,7 @@
   if (now >= older_leases_end_) unconfirmed_.clear();
   if (!unconfirmed_.empty()) return;
   recovering_ = false;
+  find_broken_gangs();
   placing_wanted_ = true;
 }
 
@@ -218,6 +232,7 @@
     watch_machines(now);
     clear_machines(now);
   }
+  mend_gangs(now);
   const bool round_due = now - last_place_ >= to_duration(settings_.tuning.round);
   const bool quick =
       placing_wanted_ && now - last_place_ >= to_duration(settings_.tuning.quick_round);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -5,6 +5,7 @@
 #include "core/actions.hpp"
 #include "core/estimator.hpp"
 #include "core/fleet.hpp"
+#include "core/gang_rooms.hpp"
 #include "core/job_table.hpp"
 #include "core/packer.hpp"
 #include "core/rate_limiter.hpp"
@@ -95,9 +96,16 @@
   std::string summary() const;
 
  private:
+  // What one machine of a rental is for: the tasks bound to it, or places of a gang.
+  struct RentalGroup {
+    std::vector<TaskKey> tasks;
+    JobId gang;
+    TaskIndex places = 0;
+    Priority priority = Priority::normal;
+  };
   struct Rental {
     Rent request;
-    std::vector<std::vector<TaskKey>> groups;
+    std::vector<RentalGroup> groups;
     TimePoint sent{};
   };
   struct OptionKey {
@@ -106,13 +114,14 @@
     bool spot;
     friend auto operator<=>(const OptionKey&, const OptionKey&) = default;
   };
+  using Chosen = std::map<OptionKey, std::vector<RentalGroup>>;
 
   // controller.cpp: jobs and recovery
   void check_recovered(TimePoint now);
   void persist(TimePoint now);
   void task_lost(const TaskKey& key);
-  void lose_all(Machine& machine);
-  void drop(Machine& machine, const TaskKey& key);
+  void lose_all(Machine& machine, TimePoint now);
+  void drop(Machine& machine, const TaskKey& key, TimePoint now, bool stored = false);
   void task_done(Job& job, TaskIndex index);
   void progress_changed(Job& job, TaskIndex index);
   void finish_complete(TimePoint now);
@@ -128,7 +137,8 @@
   void want_orders(Machine& machine);
   void send_orders(TimePoint now);
   void runs_now(Assignment& assignment, Job* job, TimePoint now);
-  void stop_task(Machine& machine, Assignment& assignment, TimePoint now);
+  void stop_task(Machine& machine, Assignment& assignment, TimePoint now,
+                 Seconds grace = Seconds(0));
   void apply_type(Machine& machine);
   void save_machine(Machine& machine);
   void watch_machines(TimePoint now);
@@ -142,16 +152,23 @@
   using ZoneUse = std::map<std::string, TaskIndex>;
   ZoneUse zone_use(const Job& job) const;
   ZoneUse zone_claims(const Job& job) const;
-  Seconds estimate_left(const Task& task, const JobSpec& spec) const;
+  Seconds estimate_left(const Job& job, TaskIndex index) const;
   Resources uncertain_use() const;
-  struct Candidate;
+  struct Candidate {
+    Job* job;
+    Seconds estimate;
+    bool guaranteed;
+    bool hopeless;  // no deadline or aim is left to meet
+    double work;    // of its waiting tasks
+  };
   std::vector<Candidate> waiting_jobs(TimePoint now);
   void place(TimePoint now);
   void place_bound(Packer& packer, TimePoint now);
   void place_job(Packer& packer, const Candidate& candidate, bool holders_only, TimePoint now);
-  bool start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now);
+  bool start_task(Job& job, TaskIndex index, Machine& machine, Attempt attempt, TimePoint now);
   std::vector<ScalerJob> leftovers(const std::vector<Candidate>& queue) const;
-  void scale(std::vector<ScalerJob> leftovers, TimePoint now);
+  void scale(std::vector<ScalerJob> leftovers, const std::vector<Candidate>& queue, TimePoint now);
+  void send_rental(const OptionKey& option, std::vector<RentalGroup> groups, TimePoint now);
   std::vector<RentalOption> rental_options(TimePoint now) const;
   Seconds longest_fetch(const JobSpec& spec) const;
   Seconds age(const Job& job, TimePoint now) const;
@@ -163,6 +180,29 @@
   void unbind(const std::vector<TaskKey>& group, const std::string& bound);
   void clear_machines(TimePoint now);
 
+  // controller_gangs.cpp
+  struct GangPlace {
+    Machine* machine = nullptr;
+    TaskIndex tasks = 0;
+    int image_rank = 0;
+  };
+  std::vector<std::string> gang_regions(const JobSpec& spec) const;
+  std::vector<GangPlace> gang_places(const Job& job, const std::string& region,
+                                     const std::vector<Machine*>& open) const;
+  static TaskIndex total(const std::vector<GangPlace>& places);
+  bool gang_within_limit(const Job& job) const;
+  void place_gang(const Candidate& candidate, const std::vector<Machine*>& open, TimePoint now);
+  bool start_gang(Job& job, const std::vector<GangPlace>& places, TimePoint now);
+  bool counts_for_gang(const Machine& machine, TimePoint now) const;
+  bool rentable(const JobSpec& spec, const std::string& region, TimePoint now) const;
+  std::optional<std::string> choose_region(const Job& job, const std::vector<Machine*>& open,
+                                           TimePoint now) const;
+  void collect(Job& job, const std::vector<Machine*>& open, TimePoint now);
+  void add_gang_rentals(const std::vector<Candidate>& queue, Chosen& chosen, TimePoint now);
+  void mend_gangs(TimePoint now);
+  void find_broken_gangs();
+  void gang_done(Job& job);
+
   ControllerSettings settings_;
   Token token_;
   Attempt next_attempt_;
@@ -171,7 +211,9 @@
   TimePoint older_leases_end_;
   bool recovering_ = true;
   Resources uncertain_;
-  bool narrow_waits_ = false;  // some waiting task does not fit every type
+  bool narrow_waits_ = false;   // some waiting task does not fit every type
+  bool ordinary_work_ = false;  // some job may not use spot machines
+  bool gangs_ = false;          // some job is a gang
   std::set<MachineId> unconfirmed_;
   std::set<MachineId> foreign_;  // machines that list tasks of jobs that are unknown here
 
@@ -181,6 +223,8 @@
   std::set<MachineId> orders_due_;
   std::set<JobId> progress_dirty_;
   std::set<JobId> complete_;
+  std::set<JobId> broken_gangs_;
+  GangRooms rooms_;
   Estimator estimator_;
   std::map<std::string, MachineType> types_;
   std::map<std::string, Team> teams_;
--- /dev/null
+++ b/src/core/controller_gangs.cpp
@@ -0,0 +1,312 @@
+// Gangs: all tasks start together under one attempt or none does, and one that has lost a task
+// ends whole before it starts anew (docs/safety.md, "Gangs, services and stops").
+#include <algorithm>
+
+#include "core/controller.hpp"
+#include "core/limits.hpp"
+
+namespace violetpulley::core {
+
+namespace {
+
+// A machine that boots for longer than this times its usual time is no longer counted on.
+constexpr double kLateForGang = 1.5;
+constexpr std::chrono::seconds kBootSlack{2};
+constexpr std::chrono::seconds kRegisters{5};
+// A gang that cannot get on in its zone looks for another one after this.
+constexpr std::chrono::seconds kMoveAfter{3};
+
+TaskIndex most_in_zone(const JobSpec& spec) {
+  return spec.spread ? (spec.tasks + 1) / 2 : spec.tasks;
+}
+
+}  // namespace
+
+// --- starting
+
+// The zones that a gang may collect in: one of them if it has to be together, else any.
+std::vector<std::string> Controller::gang_regions(const JobSpec& spec) const {
+  if (spec.zone) return {*spec.zone};
+  if (!spec.same_zone) return {""};
+  std::set<std::string> zones;
+  for (const auto& [name, type] : types_)
+    if (spec.per_task.fits_in(type.capacity))
+      for (const auto& zone : type.zones) zones.insert(zone);
+  return {zones.begin(), zones.end()};
+}
+
+// Places for the gang's tasks on machines that could take them now, best first, at most as many
+// as it needs.
+std::vector<Controller::GangPlace> Controller::gang_places(
+    const Job& job, const std::string& region, const std::vector<Machine*>& open) const {
+  const auto& spec = job.spec();
+  std::vector<GangPlace> found;
+  for (auto* machine : open) {
+    if (!region.empty() && machine->zone != region) continue;
+    if (!machine->reserved_for.empty() && machine->reserved_for != spec.id) continue;
+    if (bound_groups_.contains(machine->id) || job.failed_on.contains(machine->id)) continue;
+    if (!allowed_on(spec, machine->type, machine->zone, machine->spot)) continue;
+    const auto places = places_on(machine->free(), spec);
+    if (places > 0) found.push_back({machine, places, image_rank(*machine, spec.image)});
+  }
+  std::stable_sort(found.begin(), found.end(), [&](const GangPlace& a, const GangPlace& b) {
+    if (a.image_rank != b.image_rank) return a.image_rank > b.image_rank;
+    return a.machine->reserved_for.size() > b.machine->reserved_for.size();
+  });
+  std::vector<GangPlace> out;
+  ZoneUse use;
+  TaskIndex left = spec.tasks;
+  for (auto& place : found) {
+    auto& here = use[place.machine->zone];
+    place.tasks = std::min({place.tasks, left, most_in_zone(spec) - here});
+    if (place.tasks == 0) continue;
+    here += place.tasks;
+    left -= place.tasks;
+    out.push_back(place);
+    if (left == 0) break;
+  }
+  return out;
+}
+
+TaskIndex Controller::total(const std::vector<GangPlace>& places) {
+  TaskIndex sum = 0;
+  for (const auto& place : places) sum += place.tasks;
+  return sum;
+}
+
+// Whether the team's limit has room for the whole gang; what it still has on machines is its own.
+bool Controller::gang_within_limit(const Job& job) const {
+  const auto& spec = job.spec();
+  const auto team = teams_.find(spec.team);
+  if (team == teams_.end()) return false;
+  const auto more = spec.per_task * static_cast<double>(job.waiting.size());
+  return (fleet_.team_use(spec.team) + uncertain_ + more).fits_in(limit_of(team->second));
+}
+
+void Controller::place_gang(const Candidate& candidate, const std::vector<Machine*>& open,
+                            TimePoint now) {
+  auto& job = *candidate.job;
+  const auto& spec = job.spec();
+  if (!gang_within_limit(job)) return rooms_.close(fleet_, spec.id);
+  if (job.waiting.size() == job.tasks.size()) {
+    std::vector<GangPlace> best;
+    TaskIndex most_holders = 0;
+    for (const auto& region : gang_regions(spec)) {
+      auto places = gang_places(job, region, open);
+      if (total(places) < spec.tasks) continue;
+      TaskIndex holders = 0;
+      for (const auto& place : places) holders += place.image_rank == 2 ? place.tasks : 0;
+      if (!best.empty() && holders <= most_holders) continue;
+      best = std::move(places);
+      most_holders = holders;
+    }
+    if (!best.empty() && start_gang(job, best, now)) return rooms_.close(fleet_, spec.id);
+  }
+  collect(job, open, now);
+}
+
+// Starts all tasks or none. Everything is checked for the whole gang before the first start, and
+// for each task again where it is made.
+bool Controller::start_gang(Job& job, const std::vector<GangPlace>& places, TimePoint now) {
+  const auto& spec = job.spec();
+  if (job.waiting.size() != job.tasks.size() || !gang_within_limit(job)) return false;
+  ZoneUse zones;
+  for (const auto& place : places) {
+    zones[place.machine->zone] += place.tasks;
+    const auto whole = spec.per_task * static_cast<double>(place.tasks);
+    if (!placeable(*place.machine, now) || !whole.fits_in(place.machine->free())) return false;
+  }
+  if (spec.same_zone && zones.size() > 1) return false;
+  for (const auto& [zone, count] : zones)
+    if (count > most_in_zone(spec)) return false;
+  const auto attempt = next_attempt_++;
+  TaskIndex index = 0;
+  for (const auto& place : places)
+    for (TaskIndex n = 0; n < place.tasks; ++n, ++index)
+      if (!start_task(job, index, *place.machine, attempt, now)) {
+        broken_gangs_.insert(spec.id);
+        return false;
+      }
+  job.attempt = attempt;
+  return true;
+}
+
+// --- collecting machines
+
+bool Controller::counts_for_gang(const Machine& machine, TimePoint now) const {
+  if (machine.releasing || machine.clearing || machine.quarantined || machine.notice_ends)
+    return false;
+  if (machine.up())
+    return placeable(machine, now) ||
+           (!machine.registered && now - machine.up_since.value_or(now) < kRegisters);
+  const auto type = types_.find(machine.type);
+  if (type == types_.end()) return false;
+  return now - machine.since < to_duration(type->second.boot * kLateForGang) + kBootSlack;
+}
+
+bool Controller::rentable(const JobSpec& spec, const std::string& region, TimePoint now) const {
+  const auto options = rental_options(now);
+  return std::any_of(options.begin(), options.end(), [&](const RentalOption& option) {
+    return (region.empty() || option.zone == region) &&
+           allowed_on(spec, option.type->name, option.zone, option.spot) &&
+           spec.per_task.fits_in(option.type->capacity);
+  });
+}
+
+// Where a gang should collect: best where it finds enough at once, then where machines can be
+// rented, then by how much is free. None if another gang is short wherever it could.
+std::optional<std::string> Controller::choose_region(const Job& job,
+                                                     const std::vector<Machine*>& open,
+                                                     TimePoint now) const {
+  const auto& spec = job.spec();
+  std::optional<std::string> best;
+  std::tuple<bool, bool, TaskIndex> best_score{};
+  for (const auto& region : gang_regions(spec)) {
+    const auto free = total(gang_places(job, region, open));
+    const bool can_rent = rentable(spec, region, now);
+    if (!can_rent && free < spec.tasks && rooms_.another_is_short(region)) continue;
+    const std::tuple score{free >= spec.tasks, can_rent, free};
+    if (best && score <= best_score) continue;
+    best = region;
+    best_score = score;
+  }
+  return best;
+}
+
+void Controller::collect(Job& job, const std::vector<Machine*>& open, TimePoint now) {
+  const auto& spec = job.spec();
+  auto* room = rooms_.find(spec.id);
+  if (room != nullptr && room->missing > 0 && room->asked == 0 &&
+      !rentable(spec, room->region, now)) {
+    const bool give_way = rooms_.another_is_short(room->region);
+    bool elsewhere = false;
+    if (now - room->since > kMoveAfter)
+      for (const auto& region : gang_regions(spec))
+        elsewhere = elsewhere || (region != room->region && rentable(spec, region, now));
+    if (give_way || elsewhere) {
+      rooms_.close(fleet_, spec.id);
+      room = nullptr;
+    }
+  }
+  if (room == nullptr) {
+    const auto region = choose_region(job, open, now);
+    if (!region) return;
+    room = &rooms_.open(spec.id, *region, now);
+  }
+  ZoneUse use;
+  const auto add = [&](const std::string& zone, TaskIndex places) {
+    auto& here = use[zone];
+    here = std::min(here + places, most_in_zone(spec));
+  };
+  for (const auto& id : std::set<MachineId>(room->machines)) {
+    auto* machine = fleet_.find(id);
+    if (!counts_for_gang(*machine, now))
+      rooms_.release(*machine);
+    else
+      add(machine->zone, places_on(machine->free(), spec));
+  }
+  // Where its tasks of an attempt that has failed still end, their places come back.
+  for (const auto& task : job.tasks)
+    if (task.phase == Phase::assigned)
+      if (const auto* machine = fleet_.find(task.machine);
+          machine != nullptr && placeable(*machine, now) &&
+          (room->region.empty() || room->region == machine->zone))
+        add(machine->zone, 1);
+  const auto covered = [&] {
+    TaskIndex sum = room->asked;
+    for (const auto& [zone, places] : use) sum += places;
+    return sum;
+  };
+  for (const auto& place : gang_places(job, room->region, open)) {
+    if (covered() >= spec.tasks) break;
+    if (!place.machine->reserved_for.empty()) continue;
+    rooms_.claim(spec.id, *place.machine);
+    add(place.machine->zone, place.tasks);
+  }
+  const auto sum = covered();
+  room->missing = spec.tasks > sum ? spec.tasks - sum : 0;
+  if (room->missing > 0 && room->asked == 0 && !rentable(spec, room->region, now))
+    rooms_.note_short(room->region);
+}
+
+// The gang is one group over several machines: scored whole on type, zone and kind, and rented in
+// as few calls as can be.
+void Controller::add_gang_rentals(const std::vector<Candidate>& queue, Chosen& chosen,
+                                  TimePoint now) {
+  const auto options = rental_options(now);
+  for (const auto& candidate : queue) {
+    if (!candidate.job->gang()) continue;
+    const auto& job = *candidate.job;
+    const auto& spec = job.spec();
+    const auto* room = rooms_.find(spec.id);
+    if (room == nullptr || room->missing == 0) continue;
+    ZoneUse claimed;
+    for (const auto& id : room->machines)
+      if (const auto* machine = fleet_.find(id))
+        claimed[machine->zone] += places_on(machine->free(), spec);
+    const RentalOption* best = nullptr;
+    double best_score = 0;
+    for (const auto& option : options) {
+      if (!room->region.empty() && option.zone != room->region) continue;
+      if (!allowed_on(spec, option.type->name, option.zone, option.spot)) continue;
+      if (claimed[option.zone] >= most_in_zone(spec)) continue;
+      const bool waited = !spec.spot_allowed || age(job, now) > settings_.tuning.dear_patience;
+      if (!waited && dear(option.type->name, option.spot)) continue;
+      const auto places = std::min(places_on(option.type->capacity, spec), room->missing);
+      if (places == 0) continue;
+      const auto machines = (room->missing + places - 1) / places;
+      const double score = room->missing / (machines * option.price);
+      if (best != nullptr && score <= best_score * (1 + 1e-9)) continue;
+      best = &option;
+      best_score = score;
+    }
+    if (best == nullptr) continue;
+    auto& groups = chosen[{best->type->name, best->zone, best->spot}];
+    const auto each = places_on(best->type->capacity, spec);
+    auto left = std::min(room->missing, most_in_zone(spec) - claimed[best->zone]);
+    while (left > 0) {
+      const auto places = std::min(left, each);
+      groups.push_back({{}, spec.id, places, spec.priority});
+      left -= places;
+    }
+  }
+}
+
+// --- ending
+
+// All tasks of a gang that has lost one must be proven gone before it starts anew: those that have
+// not noticed are stopped. What saves is left to it.
+void Controller::mend_gangs(TimePoint now) {
+  for (const auto& id : std::exchange(broken_gangs_, {})) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) continue;
+    auto& job = found->second;
+    for (TaskIndex i = 0; i < job.tasks.size(); ++i) {
+      if (job.tasks[i].phase != Phase::assigned) continue;
+      auto* machine = fleet_.find(job.tasks[i].machine);
+      if (machine == nullptr) continue;
+      const auto assignment = machine->tasks.find({id, i});
+      if (assignment != machine->tasks.end() && assignment->second.state != TaskState::saving)
+        stop_task(*machine, assignment->second, now);
+    }
+    placing_wanted_ = true;
+  }
+}
+
+// Once every machine is accounted for, a gang that is not all there has lost the rest.
+void Controller::find_broken_gangs() {
+  for (const auto& [id, job] : jobs_)
+    if (job.gang() && !job.waiting.empty() && job.waiting.size() < job.tasks.size())
+      broken_gangs_.insert(id);
+}
+
+// One task that is done proves that all are, also those on machines that died since.
+void Controller::gang_done(Job& job) {
+  for (TaskIndex i = 0; i < job.tasks.size(); ++i) {
+    task_done(job, i);
+    if (i % kProgressChunk == 0) progress_changed(job, i);
+  }
+  rooms_.close(fleet_, job.spec().id);
+}
+
+}  // namespace violetpulley::core
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -5,6 +5,7 @@
 
 #include "core/clearing.hpp"
 #include "core/controller.hpp"
+#include "core/limits.hpp"
 #include "core/prices.hpp"
 
 namespace violetpulley::core {
@@ -18,11 +19,6 @@
 // A fetch under this part of the work is not worth waiting for a machine that holds the image.
 constexpr double kFetchThatCounts = 0.3;
 
-Resources limit_of(const Team& team) {
-  const double none = std::numeric_limits<double>::infinity();
-  return {team.max_cpus > 0 ? team.max_cpus : none, team.max_gpus > 0 ? team.max_gpus : none, none};
-}
-
 Seconds fetch_time(const JobSpec& spec, double gb_per_s) {
   return gb_per_s > 0 ? Seconds(spec.image_gb / gb_per_s) : Seconds(0);
 }
@@ -92,23 +88,26 @@
 }  // namespace
 
 // The one place where starts are made: limits and places are checked here, whatever chose them.
-bool Controller::start_task(Job& job, TaskIndex index, Machine& machine, TimePoint now) {
+bool Controller::start_task(Job& job, TaskIndex index, Machine& machine, Attempt attempt,
+                            TimePoint now) {
   const auto& spec = job.spec();
   const auto& task = job.tasks[index];
   if (task.phase != Phase::waiting || (recovering_ && job.carried_over)) return false;
+  if (!machine.reserved_for.empty() && machine.reserved_for != spec.id) return false;
   if (!placeable(machine, now) || !spec.per_task.fits_in(machine.free())) return false;
   if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) return false;
   if (!zone_allowed(spec, zone_use(job), machine.zone) || !within_limit(spec)) return false;
   const TaskKey key{spec.id, index};
   if (machine.tasks.contains(key)) return false;
   Assignment assignment;
-  assignment.attempt = next_attempt_++;
+  assignment.attempt = attempt;
   assignment.resources = spec.per_task;
   assignment.team = spec.team;
   assignment.job_class = spec.job_class;
   assignment.image = spec.image;
   assignment.shape = spec.shape;
-  assignment.estimate = estimate_left(task, spec);
+  assignment.saved = job.tasks[job.gang() ? 0 : index].saved;
+  assignment.estimate = estimate_left(job, index);
   assignment.placed = now;
   if (image_rank(machine, spec.image) < 2)
     assignment.fetch = fetch_time(spec, machine.fetch_gb_per_s);
@@ -121,8 +120,9 @@
 }
 
 // What is left of a task, as far as saves tell.
-Seconds Controller::estimate_left(const Task& task, const JobSpec& spec) const {
-  return remaining_run_time(estimator_.estimate(spec), task.saved);
+Seconds Controller::estimate_left(const Job& job, TaskIndex index) const {
+  return remaining_run_time(estimator_.estimate(job.spec()),
+                            job.tasks[job.gang() ? 0 : index].saved);
 }
 
 Seconds Controller::longest_fetch(const JobSpec& spec) const {
@@ -199,18 +199,14 @@
 
 }  // namespace
 
-struct Controller::Candidate {
-  Job* job;
-  Seconds estimate;
-  bool guaranteed;
-  bool hopeless;  // no deadline or aim is left to meet
-  double work;    // of its waiting tasks
-};
-
 // The jobs with waiting tasks, in the order in which room goes to them.
 std::vector<Controller::Candidate> Controller::waiting_jobs(TimePoint now) {
   std::vector<Job*> by_age;
+  ordinary_work_ = false;
+  gangs_ = false;
   for (auto& [id, job] : jobs_) {
+    ordinary_work_ = ordinary_work_ || !job.spec().spot_allowed;
+    gangs_ = gangs_ || job.gang();
     if (job.waiting.empty() || now < job.backoff_until) continue;
     if (recovering_ && job.carried_over) continue;
     by_age.push_back(&job);
@@ -228,7 +224,7 @@
     const auto waiting = spec.per_task * static_cast<double>(job->waiting.size());
     claim += waiting;
     const bool guaranteed = team != teams_.end() && covers(team->second, claim);
-    const auto estimate = estimate_left(job->tasks[*job->waiting.begin()], spec);
+    const auto estimate = estimate_left(*job, *job->waiting.begin());
     // A service has no time to be done by.
     const bool hopeless = !job->service() && !std::isfinite(time_left(*job, now).count());
     const double size = spec.per_task.gpus > 0 ? waiting.gpus : waiting.cpus;
@@ -260,7 +256,7 @@
       if (machine == nullptr || job == jobs_.end() ||
           job->second.tasks[key.index].bound != bound->first)
         continue;
-      if (start_task(job->second, key.index, *machine, now)) packer.placed(*machine);
+      if (start_task(job->second, key.index, *machine, next_attempt_++, now)) packer.placed(*machine);
     }
     unbind(bound->second, bound->first);
     bound = bound_groups_.erase(bound);
@@ -271,7 +267,7 @@
                            TimePoint now) {
   auto& job = *candidate.job;
   const auto& spec = job.spec();
-  if (job.waiting.empty() || !within_limit(spec)) return;
+  if (job.gang() || job.waiting.empty() || !within_limit(spec)) return;
   // Waiting for a machine that holds the image pays only where the fetch is long against the work.
   const auto fetch = longest_fetch(spec);
   const bool waited = fetch < candidate.estimate * kFetchThatCounts ||
@@ -279,6 +275,10 @@
   const int least_rank = holders_only && !waited ? 1 : 0;
   const bool patient = narrow_waits_ || now - job.opened < kReservationPatience;
   const auto barred = patient ? types_for_others(spec) : std::vector<std::string>{};
+  // Exception to the design: empty ordinary machines are left to work that may use no others
+  // (docs/design.md, "Ordinary machines").
+  const bool leaves_ordinary = ordinary_work_ && spec.spot_allowed &&
+                               age(job, now) < settings_.tuning.dear_patience;
   // Where a job is bound to zones, each start changes what the next one may use.
   const bool zoned = spec.same_zone || spec.spread;
   for (bool started = true; started;) {
@@ -287,7 +287,8 @@
     auto choices = packer.choices(
         spec, candidate.estimate,
         [&](const Machine& m) {
-          return allowed_on(spec, m.type, m.zone, m.spot) &&
+          return allowed_on(spec, m.type, m.zone, m.spot) && m.reserved_for.empty() &&
+                 !(leaves_ordinary && !m.spot && m.tasks.empty() && dear(m.type, m.spot)) &&
                  std::find(barred.begin(), barred.end(), m.type) == barred.end() &&
                  !job.failed_on.contains(m.id) && zone_allowed(spec, zones, m.zone);
         },
@@ -296,7 +297,8 @@
       const auto index = *next++;  // a start takes it out of the set
       if (!job.tasks[index].bound.empty() && !settings_.tuning.bound_tasks_may_move) continue;
       auto* machine = choices.best();
-      if (machine == nullptr || !start_task(job, index, *machine, now)) return;
+      if (machine == nullptr || !start_task(job, index, *machine, next_attempt_++, now))
+        return;
       choices.placed(*machine);
       started = true;
     }
@@ -322,21 +324,27 @@
              std::min(least.memory_gb, need.memory_gb)};
   }
   Packer packer(settings_.tuning.bin_unit, now);
+  std::vector<Machine*> open;
   if (!queue.empty())
     for (auto& [id, machine] : fleet_.all())
-      if (least.fits_in(machine.free()) && placeable(machine, now)) packer.offer(machine);
+      if (least.fits_in(machine.free()) && placeable(machine, now)) open.push_back(&machine);
+  if (gangs_) packer.keep_whole();
+  for (auto* machine : open) packer.offer(*machine);
   place_bound(packer, now);
+  rooms_.new_round();
   // Two passes: room first goes to tasks whose image is there, whatever their place in the queue,
   // unless a task has waited for as long as its fetch takes; then to the others.
   for (const bool holders_only : {true, false})
-    for (const auto& candidate : queue)
+    for (const auto& candidate : queue) {
+      if (candidate.job->gang() && holders_only) place_gang(candidate, open, now);
       if (!packer.empty()) place_job(packer, candidate, holders_only, now);
+    }
   looks_ += fleet_.all().size() + packer.looks();
   if (now - last_scale_ < to_duration(settings_.tuning.round)) return;
   auto left = leftovers(queue);
-  if (left.empty()) return;
+  if (left.empty() && !gangs_) return;
   last_scale_ = now;
-  scale(std::move(left), now);
+  scale(std::move(left), queue, now);
 }
 
 // The tasks that found no room and are not bound yet, in the order of the queue.
@@ -347,7 +355,7 @@
     const auto& job = *candidate.job;
     const auto& spec = job.spec();
     const auto known = teams_.find(spec.team);
-    if (known == teams_.end()) continue;
+    if (known == teams_.end() || job.gang()) continue;
     const auto& team = known->second;
     auto& free = room.try_emplace(spec.team, limit_of(team) - fleet_.team_use(spec.team) -
                                                  uncertain_)
@@ -400,7 +408,8 @@
   return !spot && prices.spot_price > 0 && is_dear(prices.price, prices.spot_price);
 }
 
-void Controller::scale(std::vector<ScalerJob> leftovers, TimePoint now) {
+void Controller::scale(std::vector<ScalerJob> leftovers, const std::vector<Candidate>& queue,
+                       TimePoint now) {
   std::stable_sort(leftovers.begin(), leftovers.end(),
                    [](const auto& a, const auto& b) { return a.estimate > b.estimate; });
   const auto may_rent = [&](const JobSpec& spec, const RentalOption& option) {
@@ -413,14 +422,18 @@
            zone_allowed(spec, zone_use(job), option.zone);
   };
   Scaler scaler(std::move(leftovers), rental_options(now), may_rent);
-  std::map<OptionKey, std::vector<std::vector<TaskKey>>> chosen;
+  Chosen chosen;
   while (const auto choice = scaler.choose()) {
     const auto& option = scaler.option(*choice);
     auto& groups = chosen[{option.type->name, option.zone, option.spot}];
-    do groups.push_back(scaler.take(*choice));
-    while (groups.size() < kMostMachinesPerRental && scaler.repeats(*choice));
+    do {
+      auto tasks = scaler.take(*choice);
+      const auto priority = jobs_.at(tasks.front().job).spec().priority;
+      groups.push_back({std::move(tasks), {}, 0, priority});
+    } while (groups.size() < kMostMachinesPerRental && scaler.repeats(*choice));
     if (groups.size() >= kMostMachinesPerRental) scaler.exhaust(*choice);
   }
+  add_gang_rentals(queue, chosen, now);
   // Requests are few a second: the option that was asked for longest ago comes first, so that
   // none starves behind another that fills one request after the other.
   std::vector<OptionKey> order;
@@ -431,18 +444,34 @@
   for (const auto& option : order) {
     auto& groups = chosen.at(option);
     if (!rental_rate_.take(now)) break;
-    last_rented_[option] = now;
-    // The token and a counter make the name: no other request ever bears it.
-    Rental rental;
-    rental.request = {"r-" + std::to_string(token_) + "-" + std::to_string(next_rental_++),
-                      option.type, option.zone, option.spot, static_cast<int>(groups.size())};
-    rental.sent = now;
-    for (const auto& group : groups)
-      for (const auto& key : group) jobs_.at(key.job).tasks[key.index].bound = rental.request.name;
-    rental.groups = std::move(groups);
-    actions_.push_back(rental.request);
-    rentals_.emplace(rental.request.name, std::move(rental));
+    // Where fewer machines come than were asked for, the first groups get them.
+    std::stable_sort(groups.begin(), groups.end(), [](const RentalGroup& a, const RentalGroup& b) {
+      return a.priority > b.priority;
+    });
+    if (groups.size() > kMostMachinesPerRental) groups.resize(kMostMachinesPerRental);
+    send_rental(option, std::move(groups), now);
+  }
+}
+
+void Controller::send_rental(const OptionKey& option, std::vector<RentalGroup> groups,
+                             TimePoint now) {
+  last_rented_[option] = now;
+  // The token and a counter make the name: no other request ever bears it.
+  Rental rental;
+  rental.request = {"r-" + std::to_string(token_) + "-" + std::to_string(next_rental_++),
+                    option.type, option.zone, option.spot, static_cast<int>(groups.size())};
+  rental.sent = now;
+  for (const auto& group : groups) {
+    for (const auto& key : group.tasks)
+      jobs_.at(key.job).tasks[key.index].bound = rental.request.name;
+    if (auto* room = rooms_.find(group.gang)) {
+      room->asked += group.places;
+      room->missing -= std::min(room->missing, group.places);
+    }
   }
+  rental.groups = std::move(groups);
+  actions_.push_back(rental.request);
+  rentals_.emplace(rental.request.name, std::move(rental));
 }
 
 void Controller::unbind(const std::vector<TaskKey>& group, const std::string& bound) {
@@ -472,8 +501,11 @@
     resting_[option] = rest;
   }
   for (std::size_t i = 0; i < rental.groups.size(); ++i) {
+    auto& group = rental.groups[i];
+    auto* room = rooms_.find(group.gang);
+    if (room != nullptr) room->asked -= std::min(room->asked, group.places);
     if (answer.kind != RentalAnswer::Kind::rented || i >= answer.machines.size()) {
-      unbind(rental.groups[i], name);
+      unbind(group.tasks, name);
       continue;
     }
     const auto& id = answer.machines[i];
@@ -487,12 +519,16 @@
       apply_type(*machine);
       save_machine(*machine);
     }
-    for (const auto& key : rental.groups[i]) {
+    // A gang that has moved on leaves its machine to anyone.
+    if (room != nullptr && machine->reserved_for.empty() && machine->tasks.empty() &&
+        (room->region.empty() || room->region == machine->zone))
+      rooms_.claim(group.gang, *machine);
+    for (const auto& key : group.tasks) {
       const auto job = jobs_.find(key.job);
       if (job != jobs_.end() && job->second.tasks[key.index].bound == name)
         job->second.tasks[key.index].bound = id;
     }
-    bound_groups_[id] = std::move(rental.groups[i]);
+    if (!group.tasks.empty()) bound_groups_[id] = std::move(group.tasks);
   }
   last_scale_ = now - to_duration(settings_.tuning.round);
   placing_wanted_ = true;
@@ -502,6 +538,11 @@
   const auto& tuning = settings_.tuning;
   for (auto& [id, machine] : fleet_.all()) {
     if (!machine.up() || machine.releasing || types_.empty()) continue;
+    if (!machine.reserved_for.empty()) {
+      machine.idle_since.reset();
+      machine.underused_since.reset();
+      continue;
+    }
     // A start that was never answered, of a job that has ended: nothing but the machine's return
     // proves that it will not be executed yet.
     const bool only_limbo =
@@ -512,7 +553,9 @@
         });
     if (only_limbo && machine.confirmed && !bound_groups_.contains(id)) {
       if (!machine.idle_since) machine.idle_since = now;
-      const bool dear_one = types_.contains(machine.type) && dear(machine.type, machine.spot);
+      // For work that may use no others, ordinary machines are not dear.
+      const bool dear_one = !ordinary_work_ && types_.contains(machine.type) &&
+                            dear(machine.type, machine.spot);
       const auto wait = dear_one ? tuning.dear_idle_wait : tuning.idle_wait;
       const bool waited = now - *machine.idle_since >= to_duration(wait);
       if (waited || machine.clearing) want_release(machine, "idle", now);
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -61,7 +61,7 @@
   auto& machine = *known;
   if (std::pair(report.session, report.sequence) <= std::pair(machine.session, machine.sequence))
     return;
-  if (machine.session != 0 && report.session > machine.session) lose_all(machine);
+  if (machine.session != 0 && report.session > machine.session) lose_all(machine, now);
   if (report.session > machine.session) machine.in_doubt.clear();
   const bool first = !machine.up();
   machine.session = report.session;
@@ -109,7 +109,7 @@
       gone.push_back(key);
   for (const auto& key : gone) {
     const bool abandoned = machine.tasks.at(key).abandoned;
-    drop(machine, key);
+    drop(machine, key, now);
     if (!abandoned) task_lost(key);
     placing_wanted_ = true;
   }
@@ -156,6 +156,7 @@
   auto& task = job.tasks[entry.task.index];
   if (entry.state == TaskState::exited) {
     if (entry.cause == ExitCause::done && task.phase == Phase::waiting && !job.service()) {
+      if (job.gang()) return gang_done(job);
       task_done(job, entry.task.index);
       progress_changed(job, entry.task.index);
     }
@@ -169,7 +170,7 @@
   assignment.job_class = job.spec().job_class;
   assignment.image = job.spec().image;
   assignment.shape = job.spec().shape;
-  assignment.estimate = estimate_left(task, job.spec());
+  assignment.estimate = estimate_left(job, entry.task.index);
   assignment.placed = now;
   assignment.state = entry.state;
   assignment.seen = true;
@@ -179,11 +180,19 @@
   }
   fleet_.assign(machine, entry.task, std::move(assignment));
   job.set_assigned(entry.task.index, machine.id);
+  // Two attempts of one gang: both end, then it starts anew.
+  if (job.gang() && job.attempt != 0 && job.attempt != entry.attempt) {
+    broken_gangs_.insert(entry.task.job);
+    job.attempt = std::max(job.attempt, entry.attempt);
+  } else if (job.gang()) {
+    job.attempt = entry.attempt;
+    if (!recovering_) broken_gangs_.insert(entry.task.job);  // it was held to be gone
+  }
 }
 
 void Controller::absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now) {
   const auto assignment = machine.tasks.at(entry.task);
-  drop(machine, entry.task);
+  drop(machine, entry.task, now, entry.stored);
   placing_wanted_ = true;
   const auto found = jobs_.find(entry.task.job);
   if (found == jobs_.end()) return;
@@ -197,15 +206,17 @@
   }
   if (entry.cause == ExitCause::done) {
     if (assignment.running_since && !assignment.stop)
-      estimator_.finished(job.spec(), now - *assignment.running_since);
+      estimator_.finished(job.spec(), assignment.saved + Seconds(now - *assignment.running_since));
     fleet_.touch_image(machine, assignment.image, job.spec().image_gb, true);
     machine.errors = 0;
     machine.error_jobs.clear();
+    if (job.gang()) return gang_done(job);
     task_done(job, index);
     progress_changed(job, index);
     return;
   }
   job.set_waiting(index);
+  if (job.gang()) broken_gangs_.insert(entry.task.job);
   if (entry.cause == ExitCause::error) task_failed(machine, job, now);
   if (entry.cause == ExitCause::unknown || entry.cause == ExitCause::no_room ||
       entry.cause == ExitCause::busy)
@@ -257,7 +268,10 @@
     // once more before the stop makes the attempt known, so that its exit is reported.
     if (with_starts && !assignment.seen && !assignment.abandoned)
       commands.push_back({Verb::start, key, assignment.attempt, Seconds(0)});
-    if (assignment.stop) commands.push_back({Verb::stop, key, assignment.attempt, Seconds(0)});
+    // What saves is left to it: a second stop would end it.
+    const bool saves = assignment.state == TaskState::saving && assignment.grace > Seconds(0);
+    if (assignment.stop && !saves)
+      commands.push_back({Verb::stop, key, assignment.attempt, assignment.grace});
   }
   return commands;
 }
@@ -267,8 +281,11 @@
   return machine == nullptr ? std::vector<Command>{} : commands_for(*machine, false);
 }
 
-void Controller::stop_task(Machine& machine, Assignment& assignment, TimePoint now) {
-  if (assignment.stop) return;
+void Controller::stop_task(Machine& machine, Assignment& assignment, TimePoint now,
+                           Seconds grace) {
+  if (assignment.stop && assignment.grace <= grace) return;
+  assignment.grace = grace;
+  if (assignment.stop) return want_orders(machine);
   assignment.stop = true;
   assignment.stop_since = now;
   want_orders(machine);
@@ -381,7 +398,7 @@
         // The lease of a machine that answers nothing has run out, and its tasks with it.
         const auto lease_end = settings_.workers.lease * 1.001 + Seconds(1);
         if (machine.confirmed && quiet > to_duration(lease_end) && !machine.tasks.empty())
-          lose_all(machine);
+          lose_all(machine, now);
       }
       if (machine.quarantined && machine.tasks.empty()) want_release(machine, "sick", now);
       if (machine.images_changed && machine.registered && !machine.registering &&
@@ -433,7 +450,8 @@
       continue;
     }
     // The answer proves that the machine and all that was on it are gone.
-    lose_all(*machine);
+    lose_all(*machine, now);
+    rooms_.release(*machine);
     const auto bound = bound_groups_.find(id);
     if (bound != bound_groups_.end()) {
       unbind(bound->second, id);
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -18,7 +18,8 @@
   std::string job_class;
   std::string image;
   Shape shape = Shape::array;
-  Seconds estimate{0};
+  Seconds estimate{0};  // of what is left after `saved`
+  Seconds saved{0};
   Seconds fetch{0};  // expected image fetch when placed
   TimePoint placed{};
   std::optional<TimePoint> running_since;
--- /dev/null
+++ b/src/core/gang_rooms.cpp
@@ -0,0 +1,55 @@
+#include "core/gang_rooms.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace violetpulley::core {
+
+TaskIndex places_on(const Resources& free, const JobSpec& spec) {
+  double places = spec.tasks;
+  const auto consider = [&](double room, double need) {
+    if (need > 0) places = std::min(places, std::floor((room + Resources::kSlack) / need));
+  };
+  consider(free.cpus, spec.per_task.cpus);
+  consider(free.gpus, spec.per_task.gpus);
+  consider(free.memory_gb, spec.per_task.memory_gb);
+  return static_cast<TaskIndex>(std::max(0.0, places));
+}
+
+GangRoom* GangRooms::find(const JobId& gang) {
+  const auto found = rooms_.find(gang);
+  return found == rooms_.end() ? nullptr : &found->second;
+}
+
+GangRoom& GangRooms::open(const JobId& gang, const std::string& region, TimePoint now) {
+  auto& room = rooms_[gang];
+  room.region = region;
+  room.since = now;
+  return room;
+}
+
+void GangRooms::close(Fleet& fleet, const JobId& gang) {
+  const auto found = rooms_.find(gang);
+  if (found == rooms_.end()) return;
+  for (const auto& id : found->second.machines)
+    if (auto* machine = fleet.find(id)) machine->reserved_for.clear();
+  rooms_.erase(found);
+}
+
+void GangRooms::claim(const JobId& gang, Machine& machine) {
+  machine.reserved_for = gang;
+  rooms_.at(gang).machines.insert(machine.id);
+}
+
+void GangRooms::release(Machine& machine) {
+  if (auto* room = find(machine.reserved_for)) room->machines.erase(machine.id);
+  machine.reserved_for.clear();
+}
+
+bool GangRooms::another_is_short(const std::string& region) const {
+  return std::any_of(short_regions_.begin(), short_regions_.end(), [&](const std::string& other) {
+    return other.empty() || region.empty() || other == region;
+  });
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/gang_rooms.hpp
@@ -0,0 +1,42 @@
+// Machines that gangs collect before they start. A machine belongs to one collection at most, and
+// nothing but that gang may start there (Machine::reserved_for).
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "core/fleet.hpp"
+
+namespace violetpulley::core {
+
+struct GangRoom {
+  std::string region;  // the zone to collect in; empty: any
+  std::set<MachineId> machines;
+  TaskIndex asked = 0;    // places on machines that are being rented
+  TaskIndex missing = 0;  // places neither claimed nor asked for nor coming back
+  TimePoint since{};
+};
+
+// How many tasks of a job fit into what a machine has free.
+TaskIndex places_on(const Resources& free, const JobSpec& spec);
+
+class GangRooms {
+ public:
+  GangRoom* find(const JobId& gang);
+  GangRoom& open(const JobId& gang, const std::string& region, TimePoint now);
+  void close(Fleet& fleet, const JobId& gang);
+  void claim(const JobId& gang, Machine& machine);
+  void release(Machine& machine);
+
+  // Gangs come in the order of the queue. The first one of a region that cannot get on keeps what
+  // it has; those behind it hand theirs over, so that no two wait with half of their machines each.
+  void new_round() { short_regions_.clear(); }
+  void note_short(const std::string& region) { short_regions_.insert(region); }
+  bool another_is_short(const std::string& region) const;
+
+ private:
+  std::map<JobId, GangRoom> rooms_;
+  std::set<std::string> short_regions_;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/limits.hpp
@@ -0,0 +1,15 @@
+// Small rules shared by the parts of the controller that place tasks.
+#pragma once
+
+#include <limits>
+
+#include "core/types.hpp"
+
+namespace violetpulley::core {
+
+inline Resources limit_of(const Team& team) {
+  const double none = std::numeric_limits<double>::infinity();
+  return {team.max_cpus > 0 ? team.max_cpus : none, team.max_gpus > 0 ? team.max_gpus : none, none};
+}
+
+}  // namespace violetpulley::core
--- a/src/core/packer.cpp
+++ b/src/core/packer.cpp
@@ -58,6 +58,7 @@
     entry.offer = i;
     entry.image_rank = rank;
     entry.dear = dear_per_cpu(machine);
+    entry.breaks_whole = keep_whole_ && !machine.spot && machine.tasks.empty();
     out.place_in_order(entry);
     out.entries_.push_back(entry);
   }
@@ -79,6 +80,9 @@
   // Exception to the design: dear machines come after all cheaper ones, so that they run empty
   // and are returned first (docs/design.md, "Dear machines last").
   if (a.dear != b.dear) return b.dear;
+  // Exception to the design: most free room would spread small tasks over all machines and leave
+  // none to a gang whose tasks need whole ones (docs/design.md, "Gangs").
+  if (a.breaks_whole != b.breaks_whole) return b.breaks_whole;
   if (a.bin_order != b.bin_order) return a.bin_order < b.bin_order;
   const auto& x = packer_.offers_[a.offer];
   const auto& y = packer_.offers_[b.offer];
@@ -110,6 +114,7 @@
     if (offer.machine != &machine) continue;
     packer_.refresh(offer);
     entry.image_rank = image_rank(machine, spec_.image);
+    entry.breaks_whole = false;
     place_in_order(entry);
   }
 }
--- a/src/core/packer.hpp
+++ b/src/core/packer.hpp
@@ -16,6 +16,8 @@
   // A machine that may take tasks in this round.
   void offer(Machine& machine);
   bool empty() const { return offers_.empty(); }
+  // Tasks wait that need whole machines: work that fits elsewhere leaves empty ones alone.
+  void keep_whole() { keep_whole_ = true; }
 
   // What the tasks of one job may choose from. They are alike, so one look at the fleet serves all.
   class Choices {
@@ -33,6 +35,7 @@
       int bin_order = 0;
       bool own_bin = false;
       bool dear = false;
+      bool breaks_whole = false;  // it is empty, and kept so while there is other room
     };
     Choices(Packer& packer, const JobSpec& spec, Seconds estimate);
     void place_in_order(Entry& entry) const;
@@ -67,6 +70,7 @@
   Seconds unit_;
   TimePoint now_;
   double cheapest_per_cpu_ = std::numeric_limits<double>::infinity();
+  bool keep_whole_ = false;
   std::vector<Offer> offers_;
   std::uint64_t looks_ = 0;
 };
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -66,7 +66,17 @@
   EXPECT_TRUE(check("benches", Json{"x1"}));
   EXPECT_TRUE(check("district", "b"));  // the type is not there
   EXPECT_TRUE(check("district", "c"));
-  EXPECT_TRUE(check("shape", "gang"));
+  // The tasks of gangs and services run together: all of them must fit into the team's limit.
+  for (const char* shape : {"array", "gang", "service"}) {
+    auto job = good_job();
+    job["same_place"] = false;
+    job["shape"] = shape;
+    job["cores"] = 8.0;
+    job["cuts"] = 9;
+    EXPECT_EQ(api::never_runs(api::parse_job(job), teams, {type}, {"a"}).has_value(),
+              std::string(shape) != "array")
+        << shape;
+  }
 }
 
 TEST(AgentCodec, ReadsReportsAndRefusesNonsense) {
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -23,6 +23,18 @@
   ExitCause cause = ExitCause::none;
   TimePoint ready{};
   TimePoint ends{};
+  TimePoint began{};  // running, or waiting for its gang
+  bool stored = false;
+};
+
+// One attempt of a gang, whose tasks find each other across machines.
+struct GangRun {
+  bool running = false;
+  TimePoint began{};
+  TimePoint ends{};
+  std::optional<TimePoint> broken;  // a task is gone: the others notice a little later
+  std::optional<TimePoint> first_stop;
+  std::size_t told = 0;  // in time to save
 };
 
 struct Worker {
@@ -95,6 +107,8 @@
   }
   std::size_t finished_jobs() const { return done_.size(); }
   std::size_t takeovers() const { return takeovers_; }
+  std::size_t gang_starts() const { return gang_starts_; }
+  std::size_t saves() const { return saves_; }
   std::string state() const {
     std::string text = leader_ ? leader_->controller->summary() : "no leader";
     for (const auto& [id, job] : jobs_) {
@@ -130,6 +144,7 @@
     if (troubles_) trouble();
     users();
     for (auto& [id, worker] : workers_) live(worker);
+    gangs();
     for (auto* leader : {&leader_, &stale_})
       if (leader->get() != nullptr) drive(**leader);
     if (leader_ == nullptr && now_ >= next_takeover_) take_over();
@@ -338,7 +353,7 @@
     }
     if (command.verb == Verb::stop) {
       if (known != worker.tasks.end() && known->second.state != TaskState::exited)
-        exit(known->second, ExitCause::stopped);
+        stop(command, known->second);
       return;
     }
     if (known != worker.tasks.end()) return;
@@ -358,6 +373,26 @@
     worker.tasks.emplace(key, task);
   }
 
+  // A running task that saves needs `save_time` for it; a second stop without grace ends it.
+  void stop(const Command& command, LiveTask& task) {
+    const auto& spec = specs_.at(command.task.job);
+    const bool saves = task.state == TaskState::running && spec.checkpoint_every > Seconds(0) &&
+                       command.grace >= spec.save_time;
+    if (task.state == TaskState::saving && command.grace > Seconds(0)) return;
+    if (spec.shape == Shape::gang && task.state == TaskState::running) {
+      auto& run = gang_runs_[{command.task.job, command.attempt}];
+      if (!run.first_stop) {
+        run.first_stop = now_;
+        gang_saved_[command.task.job] += Seconds(now_ - run.began);
+      }
+      if (saves && now_ - *run.first_stop <= to_duration(kTimes.gang_peer)) ++run.told;
+    }
+    if (!saves) return exit(task, ExitCause::stopped);
+    task.state = TaskState::saving;
+    task.ends = now_ + to_duration(spec.save_time);
+    ++saves_;
+  }
+
   void exit(LiveTask& task, ExitCause cause) {
     task.state = TaskState::exited;
     task.cause = cause;
@@ -379,20 +414,33 @@
     if (now_ < worker.hangs_until) return;
     bool changed = false;
     for (auto& [key, task] : worker.tasks) {
+      const auto& spec = specs_.at(key.first.job);
+      const bool gang = spec.shape == Shape::gang;
+      if (task.state == TaskState::saving && now_ >= task.ends) {
+        exit(task, ExitCause::stopped);
+        task.stored = !gang || gang_runs_[{key.first.job, key.second}].told == spec.tasks;
+        if (!gang) saved_[key.first] += Seconds(now_ - task.began);
+        if (gang && task.stored) stored_gangs_.insert(key.first.job);
+        changed = true;
+      }
       if (task.state == TaskState::fetching && now_ >= task.ready) {
-        const auto& spec = specs_.at(key.first.job);
         worker.images.insert(spec.image);
-        task.state = TaskState::running;
+        task.began = now_;
+        task.state = gang ? TaskState::waiting : TaskState::running;
+        if (gang && completed_.contains(key.first)) exit(task, ExitCause::done);
         task.ends =
             now_ + to_duration(completed_.contains(key.first) ? Seconds(0)
                                : spec.shape == Shape::service
                                    ? Seconds(1e6)
-                                   : spec.estimate * between(0.5, 1.6));
+                                   : std::max(Seconds(0.2), spec.estimate * between(0.5, 1.6) -
+                                                                saved_[key.first]));
         changed = true;
       }
       if (task.state == TaskState::running && worker.sick) {
         exit(task, ExitCause::error);
         changed = true;
+      } else if (gang) {
+        continue;
       } else if (task.state == TaskState::running && now_ >= task.ends) {
         exit(task, ExitCause::done);
         completed_.insert(key.first);
@@ -406,12 +454,69 @@
     }
   }
 
+  // Tasks of an attempt start together, complete together, and notice when one of them is gone.
+  void gangs() {
+    struct Member {
+      Worker* worker;
+      LiveTask* task;
+      TaskKey key;
+    };
+    std::map<std::pair<JobId, Attempt>, std::vector<Member>> members;
+    for (auto& [id, worker] : workers_)
+      if (!worker.gone && now_ >= worker.up_at)
+        for (auto& [key, task] : worker.tasks)
+          if (task.state != TaskState::exited && specs_.at(key.first.job).shape == Shape::gang)
+            members[{key.first.job, key.second}].push_back({&worker, &task, key.first});
+    for (auto& [name, all] : members) {
+      const auto& spec = specs_.at(name.first);
+      auto& run = gang_runs_[name];
+      const auto count = [&](TaskState state) {
+        return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const Member& m) {
+          return m.task->state == state && now_ >= m.worker->hangs_until;
+        }));
+      };
+      const auto leave = [&](const Member& member, ExitCause cause) {
+        if (now_ < member.worker->hangs_until) return;
+        exit(*member.task, cause);
+        member.worker->next_report =
+            std::min(member.worker->next_report, now_ + milliseconds(300));
+      };
+      if (!run.running && count(TaskState::waiting) == spec.tasks) {
+        run.running = true;
+        run.began = now_;
+        auto run_time = spec.estimate * between(0.5, 1.6);
+        if (stored_gangs_.contains(name.first)) run_time -= gang_saved_[name.first];
+        run.ends = now_ + to_duration(std::max(Seconds(0.5), run_time));
+        ++gang_starts_;
+        for (auto& member : all) {
+          member.task->state = TaskState::running;
+          member.worker->next_report =
+              std::min(member.worker->next_report, now_ + milliseconds(300));
+        }
+      } else if (run.running && !run.broken &&
+                 count(TaskState::running) + count(TaskState::saving) < spec.tasks) {
+        run.broken = now_ + to_duration(Seconds(between(0.2, kTimes.gang_peer.count())));
+      }
+      for (auto& member : all) {
+        if (member.task->state == TaskState::waiting &&
+            now_ - member.task->began > to_duration(kTimes.gang_wait))
+          leave(member, ExitCause::incomplete);
+        if (member.task->state != TaskState::running) continue;
+        if (run.broken && now_ >= *run.broken) leave(member, ExitCause::peers_gone);
+        if (!run.broken && now_ >= run.ends && !run.first_stop) {
+          for (TaskIndex i = 0; i < spec.tasks; ++i) completed_.insert({name.first, i});
+          leave(member, ExitCause::done);
+        }
+      }
+    }
+  }
+
   WorkerReport report_of(Worker& worker) {
     WorkerReport report{worker.id,      "10.0.0.1:1",      worker.type,  worker.zone, worker.spot,
                         worker.session, ++worker.sequence, worker.token, {},          {}};
     if (worker.taken_at) report.notice = Seconds(*worker.taken_at - now_);
     for (const auto& [key, task] : worker.tasks)
-      report.tasks.push_back({key.first, key.second, task.state, task.cause});
+      report.tasks.push_back({key.first, key.second, task.state, task.cause, task.stored});
     return report;
   }
 
@@ -483,6 +588,20 @@
           if (submitting_ && jobs_.contains(id)) cancel(id);
         });
       }
+      if (spec.shape == Shape::array && chance(0.3)) {
+        spec.checkpoint_every = Seconds(5);
+        spec.save_time = Seconds(between(0.5, 3));
+      }
+      if (spec.shape == Shape::array && !spec.spread && chance(0.25)) {
+        spec.shape = Shape::gang;
+        const bool whole = chance(0.4);
+        spec.tasks = static_cast<TaskIndex>(between(1, whole ? 3.99 : 6));
+        spec.per_task = {whole ? 8.0 : chance(0.5) ? 2.0 : 4.0, 0, 2};
+        spec.types.clear();
+        spec.same_zone = chance(0.7);
+        spec.spread = !spec.same_zone && !spec.zone && chance(0.4);
+        spec.priority = Priority::high;
+      }
       specs_[spec.id] = spec;
       JobRecord record{spec,
                        WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())),
@@ -604,6 +723,12 @@
   std::set<JobId> done_;
   std::map<JobId, TimePoint> cancelled_;
   std::set<std::string> rental_names_;
+  std::map<std::pair<JobId, Attempt>, GangRun> gang_runs_;
+  std::map<JobId, Seconds> gang_saved_;
+  std::set<JobId> stored_gangs_;
+  std::map<TaskKey, Seconds> saved_;
+  std::size_t gang_starts_ = 0;
+  std::size_t saves_ = 0;
 };
 
 class Simulation : public ::testing::TestWithParam<int> {};
@@ -620,6 +745,7 @@
   world.cancel_services();
   world.run(Seconds(50));
   EXPECT_GT(world.finished_jobs(), 20U);
+  EXPECT_GT(world.gang_starts(), 3U);
   EXPECT_EQ(world.open_jobs(), 0U) << "accepted jobs must run: " << world.state();
 }
 
