Stops save where that gains more than it takes; clearing counts only what is lost

A task that has to leave saves if the save fits into the time there is and is shorter than the run time since its last checkpoint; of a gang all tasks are told together. Clearing's sum takes the cost of the stop instead of the whole run time. Loopback runs a gang and a service; tests/together_test.cpp has worked examples of gangs, services and saves.

--- a/src/core/clearing.hpp
+++ b/src/core/clearing.hpp
@@ -19,7 +19,7 @@
   Seconds lost{0};
   for (const auto& [key, task] : machine.tasks) {
     longest = std::max(longest, remaining_of(task, now));
-    if (task.running_since) lost = std::max(lost, Seconds(now - *task.running_since));
+    lost = std::max(lost, cost_of_stop(task, now));
   }
   return longest > lost + boot + fetch;
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -139,6 +139,8 @@
   void runs_now(Assignment& assignment, Job* job, TimePoint now);
   void stop_task(Machine& machine, Assignment& assignment, TimePoint now,
                  Seconds grace = Seconds(0));
+  void stop_saving(Machine& machine, const TaskKey& key, Assignment& assignment, Seconds available,
+                   TimePoint now);
   void apply_type(Machine& machine);
   void save_machine(Machine& machine);
   void watch_machines(TimePoint now);
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -108,6 +108,8 @@
   assignment.shape = spec.shape;
   assignment.saved = job.tasks[job.gang() ? 0 : index].saved;
   assignment.estimate = estimate_left(job, index);
+  assignment.checkpoint_every = spec.checkpoint_every;
+  assignment.save_time = spec.save_time;
   assignment.placed = now;
   if (image_rank(machine, spec.image) < 2)
     assignment.fetch = fetch_time(spec, machine.fetch_gb_per_s);
@@ -591,7 +593,7 @@
       if (job == jobs_.end()) continue;
       job->second.tasks[key.index].restarted = true;
       progress_changed(job->second, key.index);
-      stop_task(machine, assignment, now);
+      stop_saving(machine, key, assignment, settings_.workers.lease, now);
     }
   }
 }
--- a/src/core/controller_reports.cpp
+++ b/src/core/controller_reports.cpp
@@ -11,6 +11,7 @@
 constexpr std::chrono::seconds kReleaseRetry{3};
 constexpr std::chrono::seconds kRemembered{90};
 constexpr std::size_t kMostReleased = 100;  // PROTOCOL, POST /rentals/release
+constexpr Seconds kStopTravels{1};  // an order's way to the worker, with room to spare
 constexpr int kImagesPerPass = 20;          // their records only spare fetches after a takeover
 }  // namespace
 
@@ -90,7 +91,7 @@
     machine.notice_ends = now + to_duration(*report.notice);
     for (auto& [key, assignment] : machine.tasks)
       if (now + to_duration(remaining_of(assignment, now)) > *machine.notice_ends)
-        stop_task(machine, assignment, now);
+        stop_saving(machine, key, assignment, *report.notice, now);
     placing_wanted_ = true;
   }
 
@@ -171,6 +172,8 @@
   assignment.image = job.spec().image;
   assignment.shape = job.spec().shape;
   assignment.estimate = estimate_left(job, entry.task.index);
+  assignment.checkpoint_every = job.spec().checkpoint_every;
+  assignment.save_time = job.spec().save_time;
   assignment.placed = now;
   assignment.state = entry.state;
   assignment.seen = true;
@@ -291,6 +294,26 @@
   want_orders(machine);
 }
 
+// Stops a task that has to leave its machine. It may save if that fits into the time there is and
+// gains more than it takes; of a gang all tasks must be told together, or the save fails.
+void Controller::stop_saving(Machine& machine, const TaskKey& key, Assignment& assignment,
+                             Seconds available, TimePoint now) {
+  const auto job = jobs_.find(key.job);
+  const bool saves = job != jobs_.end() && worth_saving(assignment, now) &&
+                     available > assignment.save_time + kStopTravels;
+  if (!saves) return stop_task(machine, assignment, now);
+  // With more grace than the save takes, a worker that counts a little faster still lets it end.
+  const auto grace = assignment.save_time + kStopTravels;
+  if (!job->second.gang()) return stop_task(machine, assignment, now, grace);
+  for (TaskIndex i = 0; i < job->second.tasks.size(); ++i) {
+    if (job->second.tasks[i].phase != Phase::assigned) continue;
+    auto* place = fleet_.find(job->second.tasks[i].machine);
+    if (place == nullptr) continue;
+    const auto mate = place->tasks.find({key.job, i});
+    if (mate != place->tasks.end()) stop_task(*place, mate->second, now, grace);
+  }
+}
+
 void Controller::want_orders(Machine& machine) { orders_due_.insert(machine.id); }
 
 void Controller::send_orders(TimePoint now) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -1,6 +1,7 @@
 #include "core/fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace violetpulley::core {
 
@@ -11,6 +12,22 @@
   return assignment.estimate + std::max(Seconds(0), assignment.fetch - fetched);
 }
 
+Seconds unsaved(const Assignment& assignment, TimePoint now) {
+  if (!assignment.running_since) return Seconds(0);
+  const Seconds ran = assignment.saved + Seconds(now - *assignment.running_since);
+  if (assignment.checkpoint_every <= Seconds(0)) return ran;
+  return Seconds(std::fmod(ran.count(), assignment.checkpoint_every.count()));
+}
+
+bool worth_saving(const Assignment& assignment, TimePoint now) {
+  return assignment.checkpoint_every > Seconds(0) &&
+         unsaved(assignment, now) > assignment.save_time;
+}
+
+Seconds cost_of_stop(const Assignment& assignment, TimePoint now) {
+  return worth_saving(assignment, now) ? assignment.save_time : unsaved(assignment, now);
+}
+
 Seconds Machine::remaining(TimePoint now) const {
   Seconds longest{0};
   for (const auto& [key, assignment] : tasks)
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -21,6 +21,8 @@
   Seconds estimate{0};  // of what is left after `saved`
   Seconds saved{0};
   Seconds fetch{0};  // expected image fetch when placed
+  Seconds checkpoint_every{0};  // 0: it never saves
+  Seconds save_time{0};
   TimePoint placed{};
   std::optional<TimePoint> running_since;
   TaskState state = TaskState::fetching;
@@ -88,6 +90,15 @@
 
 Seconds remaining_of(const Assignment& assignment, TimePoint now);
 
+// The run time that would be repeated if it were stopped now without a save.
+Seconds unsaved(const Assignment& assignment, TimePoint now);
+
+// Whether saving on a stop gains more than it takes; all else is stopped at once.
+bool worth_saving(const Assignment& assignment, TimePoint now);
+
+// What a stop costs: the run time to repeat, or the time to save it.
+Seconds cost_of_stop(const Assignment& assignment, TimePoint now);
+
 class Fleet {
  public:
   Machine* find(const MachineId& id);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -126,9 +126,10 @@
     return {};
   }
 
-  static std::string job(const std::string& id, int tasks, double cpus = 2) {
+  static std::string job(const std::string& id, int tasks, double cpus = 2,
+                         const char* shape = "array") {
     return Json{{"id", id},         {"lot", "c"},          {"owner", "team"},
-                {"shape", "array"}, {"urgency", "normal"}, {"cuts", tasks},
+                {"shape", shape},   {"urgency", "normal"}, {"cuts", tasks},
                 {"cores", cpus},    {"gpus", 0.0},         {"memory_gb", 1},
                 {"casket", "i"},    {"image_gb", 0.1},     {"expect_s", 0.1}}
         .dump();
@@ -176,6 +177,19 @@
   EXPECT_EQ(cancelled.at("status"), "withdrawn");
   EXPECT_EQ(Json::parse(ask("n-0", "GET", "/v1/jobs/req-9").body).at("status"), "withdrawn");
 
+  // Gangs and services: served, and refused only where they can never run (the limit is 40).
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", job("req-5", 6, 8, "gang")).status, 422);
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", job("req-5", 6, 8, "service")).status, 422);
+  const auto accepted = [](int status, const Json&) { return status == 201; };
+  until("n-0", "POST", "/v1/jobs", job("req-5", 3, 8, "gang"), accepted);
+  wait_done("n-1", "req-5");
+  until("n-0", "POST", "/v1/jobs", job("req-91", 3, 1, "service"), accepted);
+  until("n-1", "GET", "/v1/jobs/req-91", "", [](int status, const Json& body) {
+    return status == 200 && body.at("status") == "running" && body.at("running") == 3;
+  });
+  until("n-1", "POST", "/v1/jobs/req-91/withdraw", "",
+        [](int status, const Json&) { return status == 200; });
+
   // Whoever leads, two of three are killed: one of the kills hits the leader or leaves it alone.
   submit("n-2", "req-3", 5);
   kill_node("n-0");
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -731,6 +731,7 @@
   std::size_t saves_ = 0;
 };
 
+
 class Simulation : public ::testing::TestWithParam<int> {};
 
 TEST_P(Simulation, KeepsEveryRuleAndFinishes) {
--- /dev/null
+++ b/tests/together_test.cpp
@@ -0,0 +1,254 @@
+// Gangs, services and stops that save, in small worked examples. The simulation has them with every
+// trouble; here is what each of them is meant to do.
+#include <gtest/gtest.h>
+
+#include "core/controller.hpp"
+
+namespace violetpulley::core {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A controller, and workers that execute what they are sent at once.
+class Desk {
+ public:
+  explicit Desk(std::vector<std::string> zones = {"a", "b"}, Team team = {"t", 0, 0, 0, 0}) {
+    ControllerSettings settings{{team}, WorkerTimes{}, Tuning{}, 10.0, Seconds(10), {}, {}};
+    controller_ = std::make_unique<Controller>(settings, 5, now_, now_, Inheritance{});
+    controller_->set_catalog({{"g4", {32, 4, 256}, 50, 1, 10.0, 4.0, Seconds(25), zones}});
+  }
+
+  static JobSpec spec(Shape shape, TaskIndex tasks, Resources each) {
+    JobSpec spec;
+    spec.id = "req-1";
+    spec.team = "t";
+    spec.shape = shape;
+    spec.tasks = tasks;
+    spec.per_task = each;
+    spec.image = "i";
+    spec.image_gb = 1;
+    spec.estimate = shape == Shape::service ? Seconds(0) : Seconds(60);
+    return spec;
+  }
+
+  void submit(const JobSpec& spec) {
+    JobRecord record;
+    record.spec = spec;
+    record.revision = 9;
+    controller_->job_opened(record, now_);
+  }
+  void machine(const MachineId& id, const std::string& zone, bool spot = false) {
+    auto& worker = workers_[id];
+    worker = {id, "10.0.0.1:1", "g4", zone, spot, 1, 0, 5, {}, {}};
+    report(id);
+  }
+  void report(const MachineId& id) {
+    auto& worker = workers_.at(id);
+    ++worker.sequence;
+    controller_->report(worker, now_);
+  }
+  // A task's state as its worker reports it.
+  TaskReport* task(const MachineId& id) {
+    auto& tasks = workers_.at(id).tasks;
+    return tasks.empty() ? nullptr : &tasks.back();
+  }
+  void notice(const MachineId& id, Seconds left) {
+    workers_.at(id).notice = left;
+    report(id);
+  }
+
+  void run(Seconds length) {
+    const auto end = now_ + to_duration(length);
+    while (now_ < end) {
+      now_ += milliseconds(100);
+      if (++steps_ % 20 == 0)
+        for (auto& [id, worker] : workers_) report(id);
+      controller_->tick(now_, true);
+      for (auto& action : controller_->take_actions())
+        std::visit([&](auto& a) { carry_out(a); }, action);
+    }
+  }
+
+  std::vector<Command> commands(Verb verb) const {
+    std::vector<Command> out;
+    for (const auto& command : sent_)
+      if (command.verb == verb) out.push_back(command);
+    return out;
+  }
+  void forget_commands() { sent_.clear(); }
+  const std::vector<Rent>& rentals() const { return rentals_; }
+  void all(TaskState state) {
+    for (auto& [id, worker] : workers_)
+      for (auto& entry : worker.tasks)
+        if (entry.state != TaskState::exited) entry.state = state;
+  }
+
+ private:
+  void carry_out(SendOrders& orders) {
+    auto& worker = workers_.at(orders.machine);
+    for (const auto& command : orders.commands) {
+      const auto known =
+          std::find_if(worker.tasks.begin(), worker.tasks.end(),
+                       [&](const TaskReport& t) { return t.attempt == command.attempt &&
+                                                         t.task == command.task; });
+      if (command.verb == Verb::start && known == worker.tasks.end())
+        worker.tasks.push_back({command.task, command.attempt, TaskState::fetching});
+      if (command.verb == Verb::forget && known != worker.tasks.end()) worker.tasks.erase(known);
+      sent_.push_back(command);
+    }
+    ++worker.sequence;
+    const auto answer = worker;
+    controller_->orders_answered(orders.machine, &answer, now_);
+  }
+  void carry_out(SaveMachine& save) { controller_->machine_saved(save.record.id, true, true); }
+  void carry_out(Rent& rent) { rentals_.push_back(rent); }
+  template <typename Other>
+  void carry_out(Other&) {}
+
+  TimePoint now_ = TimePoint{} + std::chrono::hours(1);
+  int steps_ = 0;
+  std::unique_ptr<Controller> controller_;
+  std::map<MachineId, WorkerReport> workers_;
+  std::vector<Command> sent_;
+  std::vector<Rent> rentals_;
+};
+
+const Resources kWhole{28, 4, 200};
+const Resources kQuarter{5, 1, 38};
+
+TEST(Gang, StartsWholeInOneZoneOrNotAtAll) {
+  Desk desk;
+  auto spec = Desk::spec(Shape::gang, 3, kWhole);
+  spec.same_zone = true;
+  desk.submit(spec);
+  desk.machine("m1", "a");
+  desk.machine("m2", "a");
+  desk.machine("m3", "b");
+  desk.run(Seconds(3));
+  EXPECT_TRUE(desk.commands(Verb::start).empty());
+  ASSERT_FALSE(desk.rentals().empty());
+  desk.machine("m4", "a");
+  desk.run(Seconds(1));
+  const auto starts = desk.commands(Verb::start);
+  ASSERT_EQ(starts.size(), 3U);
+  for (const auto& start : starts) EXPECT_EQ(start.attempt, starts[0].attempt);
+  EXPECT_EQ(desk.task("m3"), nullptr);
+}
+
+TEST(Gang, EndsWholeBeforeItStartsAnew) {
+  Desk desk({"a"});
+  desk.submit(Desk::spec(Shape::gang, 2, kWhole));
+  for (const char* id : {"m1", "m2", "m3"}) desk.machine(id, "a");
+  desk.run(Seconds(1));
+  auto starts = desk.commands(Verb::start);
+  ASSERT_EQ(starts.size(), 2U);
+  desk.all(TaskState::running);
+  desk.run(Seconds(3));
+  desk.forget_commands();
+  // One task is gone. The other is stopped; until it has exited nothing starts.
+  std::vector<MachineId> hosts;
+  for (const char* id : {"m1", "m2", "m3"})
+    if (desk.task(id) != nullptr) hosts.emplace_back(id);
+  ASSERT_EQ(hosts.size(), 2U);
+  desk.task(hosts[0])->state = TaskState::exited;
+  desk.task(hosts[0])->cause = ExitCause::error;
+  desk.report(hosts[0]);
+  desk.run(Seconds(5));
+  EXPECT_TRUE(desk.commands(Verb::start).empty());
+  ASSERT_FALSE(desk.commands(Verb::stop).empty());
+  EXPECT_EQ(desk.commands(Verb::stop)[0].attempt, starts[0].attempt);
+  desk.task(hosts[1])->state = TaskState::exited;
+  desk.task(hosts[1])->cause = ExitCause::stopped;
+  desk.report(hosts[1]);
+  desk.run(Seconds(2));
+  const auto again = desk.commands(Verb::start);
+  ASSERT_EQ(again.size(), 2U);
+  EXPECT_GT(again[0].attempt, starts[0].attempt);
+  EXPECT_EQ(again[0].attempt, again[1].attempt);
+}
+
+TEST(Gang, IsRentedAsOneGroupInOneZone) {
+  Desk desk({"a", "b", "c"});
+  auto spec = Desk::spec(Shape::gang, 8, kWhole);
+  spec.same_zone = true;
+  desk.submit(spec);
+  desk.run(Seconds(5));
+  ASSERT_EQ(desk.rentals().size(), 1U);
+  EXPECT_EQ(desk.rentals()[0].count, 8);
+  EXPECT_FALSE(desk.rentals()[0].spot);
+}
+
+TEST(Gang, OfTwoThatAreShortTheFirstKeepsItsMachines) {
+  GangRooms rooms;
+  rooms.new_round();
+  rooms.note_short("a");
+  EXPECT_TRUE(rooms.another_is_short("a"));
+  EXPECT_TRUE(rooms.another_is_short(""));  // any zone may be the same one
+  EXPECT_FALSE(rooms.another_is_short("b"));
+  rooms.new_round();
+  EXPECT_FALSE(rooms.another_is_short("a"));
+}
+
+TEST(Service, RentalsKeepTheSpread) {
+  Desk desk;
+  auto spec = Desk::spec(Shape::service, 12, kQuarter);
+  spec.spread = true;
+  desk.submit(spec);
+  desk.run(Seconds(5));
+  std::map<std::string, int> machines;
+  for (const auto& rent : desk.rentals()) machines[rent.zone] += rent.count;
+  // Six replicas a zone, four to a machine.
+  EXPECT_EQ(machines["a"], 2);
+  EXPECT_EQ(machines["b"], 2);
+}
+
+TEST(Guarantee, MayBeInGpusAlone) {
+  // With one machine, the team that has a guarantee in GPUs comes before an older job beyond one.
+  Desk desk({"a"}, {"t", 0, 0, 4, 8});
+  auto large = Desk::spec(Shape::array, 12, kQuarter);
+  large.id = "req-2";
+  desk.submit(large);
+  desk.submit(Desk::spec(Shape::array, 4, kQuarter));
+  desk.machine("m1", "a");
+  desk.run(Seconds(0.3));
+  ASSERT_EQ(desk.commands(Verb::start).size(), 4U);
+  desk.machine("m2", "a");
+  desk.machine("m3", "a");
+  desk.run(Seconds(1));
+  EXPECT_EQ(desk.commands(Verb::start).size(), 8U) << "the limit is 8 GPUs, and none of processors";
+}
+
+struct Stop {
+  Seconds ran;
+  Seconds notice;
+  bool saves;
+};
+
+// A save of 5 s is worth it for 10 s of work since the last checkpoint, not for 2 s, and cannot
+// succeed within 4 s.
+TEST(Stops, SaveWhereItGainsMoreThanItTakesAndFits) {
+  for (const auto& [ran, notice, saves] :
+       {Stop{Seconds(10), Seconds(12), true}, Stop{Seconds(17), Seconds(12), false},
+        Stop{Seconds(10), Seconds(4), false}}) {
+    Desk desk({"a"});
+    auto spec = Desk::spec(Shape::array, 1, kQuarter);
+    spec.spot_allowed = true;
+    spec.checkpoint_every = Seconds(15);
+    spec.save_time = Seconds(5);
+    desk.submit(spec);
+    desk.machine("m1", "a", true);
+    desk.run(Seconds(1));
+    ASSERT_NE(desk.task("m1"), nullptr);
+    desk.all(TaskState::running);
+    desk.report("m1");
+    desk.run(ran);
+    desk.notice("m1", notice);
+    desk.run(Seconds(0.5));
+    const auto stops = desk.commands(Verb::stop);
+    ASSERT_FALSE(stops.empty());
+    EXPECT_EQ(stops[0].grace >= spec.save_time, saves) << ran.count() << " s, " << notice.count();
+  }
+}
+
+}  // namespace
+}  // namespace violetpulley::core
