Preemption: services and short gangs take the room of arrays that lose least

A waiting replica now takes the place of a task of lower priority at once, first where its image is, then beside other replicas. A gang that cannot rent what it misses claims machines that hold nothing but such tasks; they save where it pays. What is stopped was not stopped before, and never more than the room asked for. Summaries now show GPUs, empty and reserved machines.

Ruled out: rentals (all zones refused ordinary machines from 100 s on), the processor of the leader (0.12 of its share).

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -262,8 +262,10 @@
   struct TypeUse {
     std::size_t up = 0;
     std::size_t booting = 0;
-    double used = 0;
-    double capacity = 0;
+    std::size_t empty = 0;
+    std::size_t reserved = 0;  // for gangs that collect machines
+    Resources used;
+    Resources capacity;
   };
   std::map<std::string, TypeUse> types;
   std::size_t clearing = 0;
@@ -272,17 +274,24 @@
   for (const auto& [id, machine] : fleet_.all()) {
     auto& use = types[machine.type + (machine.spot ? " spot" : "")];
     ++(machine.up() ? use.up : use.booting);
-    use.used += machine.used.cpus;
-    if (machine.up()) use.capacity += machine.capacity.cpus;
+    use.used += machine.used;
+    if (machine.up()) use.capacity += machine.capacity;
+    if (machine.up() && machine.tasks.empty()) ++use.empty;
+    if (!machine.reserved_for.empty()) ++use.reserved;
     if (machine.clearing) ++clearing;
     for (const auto& [key, task] : machine.tasks) ++(task.running_since ? running : fetching);
   }
   std::ostringstream text;
   text << "jobs=" << jobs_.size() << " waiting=" << waiting << " bound=" << bound
        << " running=" << running << " fetching=" << fetching << " clearing=" << clearing;
-  for (const auto& [name, use] : types)
-    text << " [" << name << " " << use.up << "+" << use.booting << " cpus " << use.used << "/"
-         << use.capacity << "]";
+  for (const auto& [name, use] : types) {
+    text << " [" << name << " " << use.up << "+" << use.booting << " cpus " << use.used.cpus << "/"
+         << use.capacity.cpus;
+    if (use.capacity.gpus > 0) text << " gpus " << use.used.gpus << "/" << use.capacity.gpus;
+    text << " empty " << use.empty;
+    if (use.reserved > 0) text << " reserved " << use.reserved;
+    text << "]";
+  }
   if (recovering_) text << " recovering";
   return text.str();
 }
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -205,6 +205,12 @@
   void find_broken_gangs();
   void gang_done(Job& job);
 
+  // controller_preemption.cpp
+  bool preemptible(const TaskKey& key, const Assignment& assignment, Priority priority) const;
+  void preempt(Machine& machine, const TaskKey& key, Seconds available, TimePoint now);
+  void make_room_for_services(const std::vector<Candidate>& queue, TimePoint now);
+  void make_room_for_gang(const Job& job, GangRoom& room, TimePoint now);
+
   ControllerSettings settings_;
   Token token_;
   Attempt next_attempt_;
--- a/src/core/controller_gangs.cpp
+++ b/src/core/controller_gangs.cpp
@@ -203,7 +203,7 @@
     if (!counts_for_gang(*machine, now))
       rooms_.release(*machine);
     else
-      add(machine->zone, places_on(machine->free(), spec));
+      add(machine->zone, places_on(machine->free_soon(), spec));
   }
   // Where its tasks of an attempt that has failed still end, their places come back.
   for (const auto& task : job.tasks)
@@ -225,8 +225,10 @@
   }
   const auto sum = covered();
   room->missing = spec.tasks > sum ? spec.tasks - sum : 0;
-  if (room->missing > 0 && room->asked == 0 && !rentable(spec, room->region, now))
+  if (room->missing > 0 && room->asked == 0 && !rentable(spec, room->region, now)) {
     rooms_.note_short(room->region);
+    make_room_for_gang(job, *room, now);
+  }
 }
 
 // The gang is one group over several machines: scored whole on type, zone and kind, and rented in
@@ -243,7 +245,7 @@
     ZoneUse claimed;
     for (const auto& id : room->machines)
       if (const auto* machine = fleet_.find(id))
-        claimed[machine->zone] += places_on(machine->free(), spec);
+        claimed[machine->zone] += places_on(machine->free_soon(), spec);
     const RentalOption* best = nullptr;
     double best_score = 0;
     for (const auto& option : options) {
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -341,6 +341,7 @@
       if (candidate.job->gang() && holders_only) place_gang(candidate, open, now);
       if (!packer.empty()) place_job(packer, candidate, holders_only, now);
     }
+  make_room_for_services(queue, now);
   looks_ += fleet_.all().size() + packer.looks();
   if (now - last_scale_ < to_duration(settings_.tuning.round)) return;
   auto left = leftovers(queue);
--- /dev/null
+++ b/src/core/controller_preemption.cpp
@@ -0,0 +1,122 @@
+// Making room for work of higher priority (PROTOCOL, "Preemption"). Only services and gangs ask for
+// it: arrays come and go, and their own turn comes soon. A task is stopped for others once at most,
+// as for clearing, and what loses least goes first.
+#include <algorithm>
+
+#include "core/controller.hpp"
+
+namespace violetpulley::core {
+
+bool Controller::preemptible(const TaskKey& key, const Assignment& assignment,
+                             Priority priority) const {
+  if (assignment.shape != Shape::array || assignment.stop || assignment.abandoned) return false;
+  const auto job = jobs_.find(key.job);
+  return job != jobs_.end() && job->second.spec().priority < priority &&
+         !job->second.tasks[key.index].restarted;
+}
+
+void Controller::preempt(Machine& machine, const TaskKey& key, Seconds available, TimePoint now) {
+  auto& job = jobs_.at(key.job);
+  job.tasks[key.index].restarted = true;
+  progress_changed(job, key.index);
+  auto& assignment = machine.tasks.at(key);
+  assignment.preempted = true;
+  stop_saving(machine, key, assignment, available, now);
+}
+
+// Replicas that found no place get that of another task, at once and without a save: users wait.
+void Controller::make_room_for_services(const std::vector<Candidate>& queue, TimePoint now) {
+  TaskIndex needed = 0;
+  for (const auto& candidate : queue)
+    if (candidate.job->service())
+      needed += static_cast<TaskIndex>(candidate.job->waiting.size());
+  if (needed == 0) return;
+  struct Victim {
+    Machine* machine;
+    TaskKey key;
+    Seconds cost;
+  };
+  std::vector<Victim> victims;
+  TaskIndex coming = 0;
+  for (auto& [id, machine] : fleet_.all()) {
+    if (!placeable(machine, now) || !machine.reserved_for.empty()) continue;
+    for (const auto& [key, assignment] : machine.tasks) {
+      if (assignment.preempted && assignment.stop) ++coming;
+      if (preemptible(key, assignment, Priority::production))
+        victims.push_back({&machine, key, cost_of_stop(assignment, now)});
+    }
+  }
+  looks_ += fleet_.all().size();
+  std::stable_sort(victims.begin(), victims.end(),
+                   [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+  for (const auto& candidate : queue) {
+    const auto& job = *candidate.job;
+    const auto& spec = job.spec();
+    if (!job.service() || !within_limit(spec)) continue;
+    auto zones = zone_use(job);
+    auto wanted = static_cast<TaskIndex>(job.waiting.size());
+    const auto spared = std::min(wanted, coming);  // room that is coming already
+    wanted -= spared;
+    coming -= spared;
+    // First where the image is, then where other replicas are: whole machines stay free.
+    for (const int least : {2, 1, 0})
+      for (auto& victim : victims) {
+        if (wanted == 0) break;
+        if (victim.machine == nullptr) continue;
+        auto& machine = *victim.machine;
+        const bool shared = std::any_of(machine.tasks.begin(), machine.tasks.end(), [](auto& t) {
+          return t.second.shape == Shape::service;
+        });
+        const int rank = image_rank(machine, spec.image) == 2 ? 2 : shared ? 1 : 0;
+        const auto& room = machine.tasks.at(victim.key).resources;
+        if (rank < least || !spec.per_task.fits_in(machine.free() + room)) continue;
+        if (spec.priority <= jobs_.at(victim.key.job).spec().priority) continue;
+        if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) continue;
+        if (spec.spread && zones[machine.zone] + 1 > (spec.tasks + 1) / 2) continue;
+        if (spec.same_zone && !zones.empty() && !zones.contains(machine.zone)) continue;
+        ++zones[machine.zone];
+        preempt(machine, victim.key, Seconds(0), now);
+        victim.machine = nullptr;
+        --wanted;
+      }
+  }
+}
+
+// A gang that cannot rent what it misses gets whole machines on which only lesser work runs. They
+// are its own from the first stop on, so that no more is stopped than it asked for.
+void Controller::make_room_for_gang(const Job& job, GangRoom& room, TimePoint now) {
+  const auto& spec = job.spec();
+  struct Place {
+    Machine* machine;
+    TaskIndex tasks;
+    Seconds cost;
+  };
+  std::vector<Place> places;
+  for (auto& [id, machine] : fleet_.all()) {
+    if (!room.region.empty() && machine.zone != room.region) continue;
+    if (!placeable(machine, now) || !machine.reserved_for.empty() || machine.tasks.empty()) continue;
+    if (bound_groups_.contains(id) || job.failed_on.contains(id)) continue;
+    if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) continue;
+    Seconds cost{0};
+    bool all = true;
+    for (const auto& [key, assignment] : machine.tasks) {
+      all = all && preemptible(key, assignment, spec.priority);
+      cost += cost_of_stop(assignment, now);
+    }
+    const auto tasks = places_on(machine.capacity, spec);
+    if (all && tasks > 0) places.push_back({&machine, tasks, cost});
+  }
+  looks_ += fleet_.all().size();
+  std::stable_sort(places.begin(), places.end(),
+                   [](const Place& a, const Place& b) { return a.cost < b.cost; });
+  for (const auto& place : places) {
+    if (room.missing == 0) return;
+    rooms_.claim(spec.id, *place.machine);
+    room.missing -= std::min(room.missing, place.tasks);
+    std::vector<TaskKey> keys;
+    for (const auto& [key, assignment] : place.machine->tasks) keys.push_back(key);
+    for (const auto& key : keys) preempt(*place.machine, key, settings_.workers.lease, now);
+  }
+}
+
+}  // namespace violetpulley::core
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -28,6 +28,13 @@
   return worth_saving(assignment, now) ? assignment.save_time : unsaved(assignment, now);
 }
 
+Resources Machine::free_soon() const {
+  auto room = free();
+  for (const auto& [key, assignment] : tasks)
+    if (assignment.stop) room += assignment.resources;
+  return room;
+}
+
 Seconds Machine::remaining(TimePoint now) const {
   Seconds longest{0};
   for (const auto& [key, assignment] : tasks)
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -29,6 +29,7 @@
   bool seen = false;       // reported by the worker under this attempt
   bool stop = false;       // must go
   bool abandoned = false;  // its job has ended; nothing waits for it
+  bool preempted = false;  // stopped to make room for others
   Seconds grace{0};        // for saving, when it is stopped
   std::optional<TimePoint> stop_since;
 };
@@ -84,6 +85,8 @@
 
   bool up() const { return !endpoint.empty(); }
   Resources free() const { return capacity - used; }
+  // With what is being stopped.
+  Resources free_soon() const;
   // Time until its longest task is expected to end (its bin follows from it).
   Seconds remaining(TimePoint now) const;
 };
