--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -165,6 +165,7 @@
     bool guaranteed;
     bool hopeless;  // no deadline or aim is left to meet
     double work;    // of its waiting tasks
+    bool aged;      // a gang that has waited long: smaller ones pass it no more
   };
   std::vector<Candidate> waiting_jobs(TimePoint now);
   void place(TimePoint now);
--- a/src/core/controller_gangs.cpp
+++ b/src/core/controller_gangs.cpp
@@ -228,6 +228,9 @@
   const auto sum = covered();
   room->missing = spec.tasks > sum ? spec.tasks - sum : 0;
   if (room->missing > 0 && room->asked == 0 && !rentable(spec, room->region, now)) {
+    std::set<std::string> zones;
+    for (const auto& [name, type] : types_) zones.insert(type.zones.begin(), type.zones.end());
+    if (!rooms_.may_be_short(room->region, zones.size())) return rooms_.close(fleet_, spec.id);
     rooms_.note_short(room->region);
     make_room_for_gang(job, *room, now);
   }
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::minutes kNarrowRemembered{5};
 constexpr std::chrono::seconds kReservationPatience{20};
 
+// Where machines are scarce, the smallest gangs find places first, until others have waited for this.
+constexpr Seconds kGangAges{20};
+
 // A fetch under this part of the work is not worth waiting for a machine that holds the image.
 // At 0.3, which also changed arrays of 30 s and more, vinsamlag fell from 0.693 to 0.643.
 constexpr double kFetchThatCounts = 0.05;
@@ -231,7 +234,8 @@
     // A service has no time to be done by.
     const bool hopeless = !job->service() && !std::isfinite(time_left(*job, now).count());
     const double size = spec.per_task.gpus > 0 ? waiting.gpus : waiting.cpus;
-    queue.push_back({job, estimate, guaranteed, hopeless, estimate.count() * size});
+    const bool aged = job->gang() && age(*job, now) > kGangAges;
+    queue.push_back({job, estimate, guaranteed, hopeless, estimate.count() * size, aged});
   }
   // The design's order is longest first. Before it come priority, for the deadlines, and work
   // within a team's guarantee (docs/design.md, "Order of the queue").
@@ -239,6 +243,8 @@
     const auto& x = a.job->spec();
     const auto& y = b.job->spec();
     if (x.priority != y.priority) return x.priority > y.priority;
+    if (a.aged != b.aged) return a.aged;
+    if (a.aged) return a.job->record.submitted < b.job->record.submitted;
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
     if (a.hopeless != b.hopeless) return b.hopeless;
     return a.work < b.work;
--- a/src/core/gang_rooms.hpp
+++ b/src/core/gang_rooms.hpp
@@ -2,6 +2,7 @@
 // nothing but that gang may start there (Machine::reserved_for).
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -33,6 +34,12 @@
   void new_round() { short_regions_.clear(); }
   void note_short(const std::string& region) { short_regions_.insert(region); }
   bool another_is_short(const std::string& region) const;
+  // Gangs that are short may hold the machines of half of the zones; the rest is for those that
+  // find enough at once.
+  bool may_be_short(const std::string& region, std::size_t zones) const {
+    return !another_is_short(region) &&
+           short_regions_.size() < std::max<std::size_t>(1, zones / 2);
+  }
 
  private:
   std::map<JobId, GangRoom> rooms_;
--- a/tests/together_test.cpp
+++ b/tests/together_test.cpp
@@ -193,6 +193,11 @@
   EXPECT_TRUE(rooms.another_is_short("a"));
   EXPECT_TRUE(rooms.another_is_short(""));  // any zone may be the same one
   EXPECT_FALSE(rooms.another_is_short("b"));
+  // Short gangs hold half of the zones at most, so that small ones find places in the others.
+  EXPECT_FALSE(rooms.may_be_short("a", 4));
+  EXPECT_TRUE(rooms.may_be_short("b", 4));
+  rooms.note_short("b");
+  EXPECT_FALSE(rooms.may_be_short("c", 4));
   rooms.new_round();
   EXPECT_FALSE(rooms.another_is_short("a"));
 }
