--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -124,6 +124,7 @@
                objective.job_class = item["class"].value_or(std::string());
                objective.within = core::Seconds(number_at(item, at, "within_s", 0, 0.0));
                objective.share = number_at(item, at, "share", 0, 0.0);
+               objective.times = number_at(item, at, "times", 0, 1.0);
                out.objectives.push_back(objective);
              });
 
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -25,6 +25,7 @@
   std::string job_class;
   core::Seconds within{0};
   double share = 0;
+  double times = 1;  // of the deadline
 };
 
 struct Settings {
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -22,6 +22,12 @@
   Seconds within{0};
 };
 
+// Done within this many times the job's deadline.
+struct LateAim {
+  std::string job_class;
+  double times = 1;
+};
+
 struct ControllerSettings {
   std::vector<Team> teams;
   WorkerTimes workers;
@@ -29,6 +35,7 @@
   double cloud_calls_per_s = 1;  // for rentals and returns
   Seconds list_lag{10};
   std::vector<FinishAim> aims;
+  std::vector<LateAim> late_aims;
   WallTime wall_at_start{};  // the time of day that belongs to the start's steady time
 };
 
@@ -159,11 +166,14 @@
   ZoneUse zone_claims(const Job& job) const;
   Seconds estimate_left(const Job& job, TaskIndex index) const;
   Resources uncertain_use() const;
+  // What is left to gain: a deadline or an aim, an aim for being little late, or nothing.
+  enum class Outlook { in_time, late, hopeless };
+  Outlook outlook(const Job& job, TimePoint now) const;
   struct Candidate {
     Job* job;
     Seconds estimate;
     bool guaranteed;
-    bool hopeless;  // no deadline or aim is left to meet
+    Outlook outlook;
     double work;    // of its waiting tasks
     bool aged;      // a gang that has waited long: smaller ones pass it no more
   };
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -160,6 +160,19 @@
   return best;
 }
 
+Controller::Outlook Controller::outlook(const Job& job, TimePoint now) const {
+  // A service has no time to be done by.
+  if (job.service() || std::isfinite(time_left(job, now).count())) return Outlook::in_time;
+  const auto& spec = job.spec();
+  const auto done = age(job, now) + estimator_.estimate(spec);
+  const bool late = spec.deadline && std::any_of(settings_.late_aims.begin(),
+                                                 settings_.late_aims.end(), [&](const LateAim& aim) {
+                                                   return aim.job_class == spec.job_class &&
+                                                          done < *spec.deadline * aim.times;
+                                                 });
+  return late ? Outlook::late : Outlook::hopeless;
+}
+
 // Exception to the design: types that some jobs' tasks cannot do without are left to those by tasks
 // that fit another type (docs/design.md, "Scarce types").
 void Controller::note_narrow_types(TimePoint now) {
@@ -231,11 +244,9 @@
     claim += waiting;
     const bool guaranteed = team != teams_.end() && covers(team->second, claim);
     const auto estimate = estimate_left(*job, *job->waiting.begin());
-    // A service has no time to be done by.
-    const bool hopeless = !job->service() && !std::isfinite(time_left(*job, now).count());
     const double size = spec.per_task.gpus > 0 ? waiting.gpus : waiting.cpus;
     const bool aged = job->gang() && age(*job, now) > kGangAges;
-    queue.push_back({job, estimate, guaranteed, hopeless, estimate.count() * size, aged});
+    queue.push_back({job, estimate, guaranteed, outlook(*job, now), estimate.count() * size, aged});
   }
   // The design's order is longest first. Before it come priority, for the deadlines, and work
   // within a team's guarantee (docs/design.md, "Order of the queue").
@@ -246,7 +257,7 @@
     if (a.aged != b.aged) return a.aged;
     if (a.aged) return a.job->record.submitted < b.job->record.submitted;
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
-    if (a.hopeless != b.hopeless) return b.hopeless;
+    if (a.outlook != b.outlook) return a.outlook < b.outlook;
     return a.work < b.work;
   });
   return queue;
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -208,10 +208,14 @@
       settings_.cloud_requests_per_s * kCloudCalls,
       settings_.cloud_list_lag,
       {},
+      {},
       std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now())};
-  for (const auto& objective : settings_.objectives)
+  for (const auto& objective : settings_.objectives) {
     if (objective.kind == "finished")
       controller.aims.push_back({objective.job_class, objective.within});
+    if (objective.kind == "deadline")
+      controller.late_aims.push_back({objective.job_class, objective.times});
+  }
   const auto now = Clock::now();
   spdlog::info("takeover: {} jobs, {} machines, {} progress records", inheritance_.jobs.size(),
                inheritance_.machines.size(), inheritance_.progress.size());
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -196,7 +196,7 @@
     record.spec.spot_allowed = spot_allowed;
     record.revision = 9;
     ControllerSettings settings{
-        {{"t", 0, 0, 0, 0}}, WorkerTimes{}, Tuning{}, 1.0, Seconds(10), {}, {}};
+        {{"t", 0, 0, 0, 0}}, WorkerTimes{}, Tuning{}, 1.0, Seconds(10), {}, {}, {}};
     Controller controller(settings, 5, kNow, kNow, Inheritance{});
     controller.set_catalog({type});
     controller.job_opened(record, kNow);
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -170,6 +170,7 @@
         2.0,
         Seconds(10),
         {{"c0", Seconds(60)}},
+        {{"c1", 1.75}},
         WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()))};
     leader_->controller = std::make_unique<Controller>(
         settings, leader_->token, now_, leader_->leadership.older_leases_end(now_), inheritance);
--- a/tests/together_test.cpp
+++ b/tests/together_test.cpp
@@ -17,7 +17,7 @@
     take_over({});
   }
   void take_over(Inheritance inheritance) {
-    ControllerSettings settings{{team_}, WorkerTimes{}, Tuning{}, 10.0, Seconds(10), {}, {}};
+    ControllerSettings settings{{team_}, WorkerTimes{}, Tuning{}, 10.0, Seconds(10), {}, {{"c", 1.75}}, {}};
     controller_ = std::make_unique<Controller>(
         settings, 5, now_, now_ + std::chrono::seconds(60), std::move(inheritance));
     controller_->set_catalog({{"g4", {32, 4, 256}, 50, 1, 10.0, 4.0, Seconds(25), zones_}});
@@ -234,6 +234,28 @@
   EXPECT_EQ(stopped.begin()->job, "req-2");
 }
 
+// Found in bursts of rough days: an array past its deadline fell behind all hope, although an aim for
+// being little late was still to be met.
+TEST(Queue, WhatCanStillBeLittleLateComesBeforeWhatIsLost) {
+  Desk desk({"a"});
+  auto lost = Desk::spec(Shape::array, 1, kQuarter);
+  lost.id = "req-2";
+  lost.job_class = "c";
+  lost.estimate = Seconds(10);
+  lost.deadline = Seconds(5);  // 1.75 times that is shorter than the work
+  desk.submit(lost);
+  auto late = lost;
+  late.id = "req-3";
+  late.deadline = Seconds(9);
+  late.tasks = 4;  // more work: without the aim it comes last
+  desk.submit(late);
+  desk.machine("m1", "a");
+  desk.run(Seconds(0.3));
+  const auto starts = desk.commands(Verb::start);
+  ASSERT_EQ(starts.size(), 4U);
+  for (const auto& start : starts) EXPECT_EQ(start.task.job, "req-3");
+}
+
 TEST(Guarantee, MayBeInGpusAlone) {
   // With one machine, the team that has a guarantee in GPUs comes before an older job beyond one.
   Desk desk({"a"}, {"t", 0, 0, 4, 8});
