Where many tasks wait for each place, they wait longer for a holder of their image

With over eight waiting tasks for each machine that has room, they now wait up to five fetches for a holder; otherwise as before.

--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -240,6 +240,7 @@
   bool narrow_waits_ = false;   // some waiting task does not fit every type
   bool ordinary_work_ = false;  // some job may not use spot machines
   bool gangs_ = false;          // some job is a gang
+  bool scarce_ = false;         // many tasks wait for each machine that has room
   std::set<MachineId> unconfirmed_;
   std::set<OptionKey> unconfirmed_kinds_;  // type, zone and kind of those; may tell of too many
   std::set<MachineId> foreign_;  // machines that list tasks of jobs that are unknown here
--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -16,6 +16,12 @@
 constexpr std::chrono::minutes kNarrowRemembered{5};
 constexpr std::chrono::seconds kReservationPatience{20};
 
+// How long a task waits for a machine that holds its image, in fetches. Where many tasks wait for
+// each place, a fetch takes room from all of them, and a holder is soon free.
+constexpr double kHolderPatience = 0.3;
+constexpr double kScarcePatience = 5;
+constexpr std::size_t kTasksPerPlaceIfScarce = 8;
+
 // Where machines are scarce, the smallest gangs find places first, until others have waited for this.
 constexpr Seconds kGangAges{20};
 
@@ -290,8 +296,9 @@
   if (job.gang() || job.waiting.empty() || !within_limit(spec)) return;
   // Waiting for a machine that holds the image pays only where the fetch is long against the work.
   const auto fetch = longest_fetch(spec);
+  const double patience = scarce_ ? kScarcePatience : kHolderPatience;
   const bool waited = fetch < candidate.estimate * kFetchThatCounts ||
-                      now - job.opened > to_duration(fetch * 0.3);
+                      now - job.opened > to_duration(fetch * patience);
   const int least_rank = holders_only && !waited ? 1 : 0;
   const bool patient = narrow_waits_ || now - job.opened < kReservationPatience;
   const auto barred = patient ? types_for_others(spec) : std::vector<std::string>{};
@@ -352,6 +359,10 @@
   if (!queue.empty())
     for (auto& [id, machine] : fleet_.all())
       if (least.fits_in(machine.free()) && placeable(machine, now)) open.push_back(&machine);
+  std::size_t waiting = 0;
+  for (const auto& candidate : queue)
+    if (!candidate.job->gang()) waiting += candidate.job->waiting.size();
+  scarce_ = waiting > kTasksPerPlaceIfScarce * std::max<std::size_t>(1, open.size());
   if (gangs_) packer.keep_whole();
   for (auto* machine : open) packer.offer(*machine);
   place_bound(packer, now);
