--- a/src/core/controller_placing.cpp
+++ b/src/core/controller_placing.cpp
@@ -362,7 +362,12 @@
   std::size_t waiting = 0;
   for (const auto& candidate : queue)
     if (!candidate.job->gang()) waiting += candidate.job->waiting.size();
-  scarce_ = waiting > kTasksPerPlaceIfScarce * std::max<std::size_t>(1, open.size());
+  JobSpec smallest;  // a large machine has room for many tasks: places count, not machines
+  smallest.per_task = least;
+  smallest.tasks = static_cast<TaskIndex>(std::min<std::size_t>(waiting, 100'000));
+  std::size_t places = 1;
+  for (const auto* machine : open) places += places_on(machine->free(), smallest);
+  scarce_ = waiting > kTasksPerPlaceIfScarce * places;
   if (gangs_) packer.keep_whole();
   for (auto* machine : open) packer.offer(*machine);
   place_bound(packer, now);
--- a/tests/together_test.cpp
+++ b/tests/together_test.cpp
@@ -256,6 +256,18 @@
   for (const auto& start : starts) EXPECT_EQ(start.task.job, "req-3");
 }
 
+// Found by paired days of vinsamlag (0.745 -> 0.728): scarcity counted by machines made 20 small tasks
+// wait for a holder of their image beside a large machine that had room for all of them.
+TEST(Queue, AMachineWithRoomForAllIsNotScarce) {
+  Desk desk({"a"});
+  auto spec = Desk::spec(Shape::array, 20, {1, 0, 1});
+  spec.image_gb = 10;  // a fetch of 10 s
+  desk.submit(spec);
+  desk.machine("m1", "a");
+  desk.run(Seconds(5));
+  EXPECT_EQ(desk.commands(Verb::start).size(), 20U);
+}
+
 TEST(Guarantee, MayBeInGpusAlone) {
   // With one machine, the team that has a guarantee in GPUs comes before an older job beyond one.
   Desk desk({"a"}, {"t", 0, 0, 4, 8});
