Replicas: hosts are passed as an argument; a test of gathering sparse replicas

The list of hosting machines was a member that was valid within one function only. No change of behaviour.

--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -220,7 +220,8 @@
 
   // controller_replicas.cpp
   Machine* place_for_replica(const Job& job, const Machine& from,
-                             const std::map<MachineId, Resources>& taken);
+                             const std::vector<Machine*>& hosts,
+                             const std::map<MachineId, Resources>& taken) const;
   void clear_replicas(TimePoint now);
 
   // controller_preemption.cpp
@@ -253,7 +254,6 @@
   std::set<JobId> complete_;
   std::set<JobId> broken_gangs_;
   GangRooms rooms_;
-  std::vector<Machine*> replica_hosts_;  // valid within clear_replicas only
   Estimator estimator_;
   std::map<std::string, MachineType> types_;
   std::map<std::string, Team> teams_;
--- a/src/core/controller_replicas.cpp
+++ b/src/core/controller_replicas.cpp
@@ -16,11 +16,12 @@
 
 // Where a replica could go: beside other replicas, with its image, in a zone that its job allows.
 Machine* Controller::place_for_replica(const Job& job, const Machine& from,
-                                       const std::map<MachineId, Resources>& taken) {
+                                       const std::vector<Machine*>& hosts,
+                                       const std::map<MachineId, Resources>& taken) const {
   const auto& spec = job.spec();
   auto zones = zone_use(job);
   if (const auto here = zones.find(from.zone); here != zones.end()) --here->second;
-  for (auto* machine : replica_hosts_) {
+  for (auto* machine : hosts) {
     if (machine->id == from.id || machine->clearing) continue;
     const auto claimed = taken.find(machine->id);
     const auto room =
@@ -37,7 +38,7 @@
 void Controller::clear_replicas(TimePoint now) {
   std::size_t replicas = 0;
   std::size_t moving = 0;
-  replica_hosts_.clear();
+  std::vector<Machine*> hosting;
   std::vector<Machine*> sparse;
   for (auto& [id, machine] : fleet_.all()) {
     const bool hosts = !machine.tasks.empty() &&
@@ -50,7 +51,7 @@
       machine.sparse_since.reset();
       continue;
     }
-    if (placeable(machine, now)) replica_hosts_.push_back(&machine);
+    if (placeable(machine, now)) hosting.push_back(&machine);
     // At half of its room or less it is worth clearing: two such machines make one.
     if (!underused(machine, settings_.tuning.clearing_use + 1e-6)) {
       machine.sparse_since.reset();
@@ -78,7 +79,7 @@
       const auto job = jobs_.find(entry.first.job);
       if (job == jobs_.end() || job->second.tasks[entry.first.index].restarted) return false;
       if (entry.second.stop) return true;
-      auto* target = place_for_replica(job->second, *machine, taken);
+      auto* target = place_for_replica(job->second, *machine, hosting, taken);
       if (target == nullptr) return false;
       taken[target->id] += entry.second.resources;
       return true;
--- a/tests/together_test.cpp
+++ b/tests/together_test.cpp
@@ -57,6 +57,11 @@
     auto& tasks = workers_.at(id).tasks;
     return tasks.empty() ? nullptr : &tasks.back();
   }
+  void end(const MachineId& id, const JobId& job) {
+    for (auto& entry : workers_.at(id).tasks)
+      if (entry.task.job == job) entry.state = TaskState::exited, entry.cause = ExitCause::done;
+    report(id);
+  }
   void notice(const MachineId& id, Seconds left) {
     workers_.at(id).notice = left;
     report(id);
@@ -215,6 +220,35 @@
   EXPECT_EQ(machines["b"], 2);
 }
 
+// Found in the leader's summaries: when arrivals end, replicas stay two to a machine. Two machines
+// with one each become one, and nothing starts before the moved replica is gone.
+TEST(Service, SparseReplicasGatherOnOneMachine) {
+  Desk desk({"a"});
+  auto filler = Desk::spec(Shape::array, 3, kQuarter);
+  filler.id = "req-2";
+  filler.priority = Priority::production;
+  desk.submit(filler);
+  desk.machine("m1", "a");
+  desk.run(Seconds(0.5));
+  auto service = Desk::spec(Shape::service, 2, kQuarter);
+  service.priority = Priority::production;
+  desk.submit(service);
+  desk.run(Seconds(0.5));
+  desk.machine("m2", "a");
+  desk.run(Seconds(2));
+  desk.all(TaskState::running);
+  desk.run(Seconds(3));
+  desk.end("m1", "req-2");
+  desk.forget_commands();
+  desk.run(Seconds(25));
+  EXPECT_TRUE(desk.commands(Verb::stop).empty());
+  desk.run(Seconds(15));
+  std::set<TaskKey> stopped;
+  for (const auto& stop : desk.commands(Verb::stop)) stopped.insert(stop.task);
+  EXPECT_EQ(stopped.size(), 1U);
+  EXPECT_TRUE(desk.commands(Verb::start).empty());
+}
+
 // A replica comes before an array of lower priority that took its room, and takes no more than that.
 TEST(Preemption, AReplicaTakesThePlaceOfOneTaskOnly) {
   Desk desk({"a"});
