--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -18,6 +18,10 @@
   std::string zone;
   bool spot = false;
   std::vector<std::pair<std::string, double>> images;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.id, s.endpoint, s.type, s.zone, s.spot, s.images);
+  }
 };
 
 struct ProgressRecord {
@@ -25,6 +29,10 @@
   TaskIndex chunk = 0;
   std::vector<IndexRange> done;
   std::vector<IndexRange> restarted;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.job, s.chunk, s.done, s.restarted);
+  }
 };
 
 struct SendOrders {
@@ -32,26 +40,50 @@
   std::string endpoint;
   std::uint64_t session = 0;
   std::vector<Command> commands;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.machine, s.endpoint, s.session, s.commands);
+  }
 };
 struct SaveMachine {
   MachineRecord record;
   bool only_images = false;  // registered before: it only spares fetches after a takeover
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.record, s.only_images);
+  }
 };
 struct DeleteMachine {
   MachineId id;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.id);
+  }
 };
 struct SaveProgress {
   ProgressRecord record;
   std::size_t tasks_in_chunk = 0;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.record, s.tasks_in_chunk);
+  }
 };
 struct FinishJob {
   JobId job;
   Revision revision = 0;
   std::vector<TaskIndex> chunks;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.job, s.revision, s.chunks);
+  }
 };
 struct DeleteProgress {
   JobId job;
   std::vector<TaskIndex> chunks;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.job, s.chunks);
+  }
 };
 struct Rent {
   std::string name;
@@ -59,13 +91,25 @@
   std::string zone;
   bool spot = false;
   int count = 0;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.name, s.type, s.zone, s.spot, s.count);
+  }
 };
 struct Release {
   std::vector<MachineId> machines;
   std::string cause;  // for the log: "3 idle, 1 silent"
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.machines, s.cause);
+  }
 };
 struct Resign {
   std::string cause;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.cause);
+  }
 };
 
 using Action = std::variant<SendOrders, SaveMachine, DeleteMachine, SaveProgress, FinishJob,
--- /dev/null
+++ b/src/core/assignments.cpp
@@ -0,0 +1,54 @@
+#include "core/assignments.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace violetpulley::core {
+
+// The assignment ends: nothing of it is on the machine any more.
+void Assignments::drop(Machine& machine, const TaskKey& key, TimePoint now, bool stored) {
+  const auto assignment = machine.tasks.find(key);
+  if (assignment == machine.tasks.end()) return;
+  const auto found = jobs_.find(key.job);
+  if (assignment->second.running_since && !assignment->second.abandoned && found != jobs_.end()) {
+    auto& job = found->second;
+    if (job.running > 0) --job.running;
+    // What a restart need not repeat. Tasks of a gang save together.
+    auto& saved = job.tasks[job.gang() ? 0 : key.index].saved;
+    const auto until = assignment->second.stop_since.value_or(now);
+    const Seconds ran =
+        assignment->second.saved + Seconds(until - *assignment->second.running_since);
+    const auto mark = job.spec().checkpoint_every;
+    if (stored)
+      saved = std::max(saved, ran);
+    else if (mark > Seconds(0))
+      saved = std::max(saved, mark * std::floor(ran / mark));
+  }
+  fleet_.unassign(machine, key);
+}
+
+void Assignments::lost(const TaskKey& key) {
+  const auto found = jobs_.find(key.job);
+  if (found == jobs_.end() || key.index >= found->second.tasks.size()) return;
+  found->second.set_waiting(key.index);
+  if (found->second.gang()) jobs_.note_broken(key.job);
+  out_.want_placing();
+}
+
+void Assignments::lose_all(Machine& machine, TimePoint now) {
+  while (!machine.tasks.empty()) {
+    const auto key = machine.tasks.begin()->first;
+    const bool abandoned = machine.tasks.begin()->second.abandoned;
+    drop(machine, key, now);
+    if (!abandoned) lost(key);
+  }
+  machine.reported.clear();
+  recovery_.note_foreign(machine);
+}
+
+void Assignments::runs_now(Assignment& assignment, Job* job, TimePoint now) {
+  assignment.running_since = now;
+  if (job != nullptr && !assignment.abandoned) ++job->running;
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/assignments.hpp
@@ -0,0 +1,30 @@
+// Tasks that end on a machine: what that makes of the job, and what a restart need not repeat
+// (PROTOCOL, "Gangs", for what saves are worth). Owns nothing; joins jobs and machines.
+#pragma once
+
+#include "core/jobs.hpp"
+#include "core/recovery.hpp"
+
+namespace violetpulley::core {
+
+class Assignments {
+ public:
+  Assignments(Outbox& out, Fleet& fleet, Jobs& jobs, Recovery& recovery)
+      : out_(out), fleet_(fleet), jobs_(jobs), recovery_(recovery) {}
+
+  // `job`: null if it has ended.
+  void runs_now(Assignment& assignment, Job* job, TimePoint now);
+  // `stored`: its progress was saved when it was stopped.
+  void drop(Machine& machine, const TaskKey& key, TimePoint now, bool stored = false);
+  // The task is proven gone and must run again.
+  void lost(const TaskKey& key);
+  void lose_all(Machine& machine, TimePoint now);
+
+ private:
+  Outbox& out_;
+  Fleet& fleet_;
+  Jobs& jobs_;
+  Recovery& recovery_;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/bindings.cpp
@@ -0,0 +1,35 @@
+#include "core/bindings.hpp"
+
+namespace violetpulley::core {
+
+void Bindings::bind(const std::vector<TaskKey>& group, const std::string& rental) {
+  for (const auto& key : group) jobs_.at(key.job).tasks[key.index].bound = rental;
+}
+
+void Bindings::rebind(std::vector<TaskKey> group, const std::string& rental,
+                      const MachineId& machine) {
+  for (const auto& key : group) {
+    const auto job = jobs_.find(key.job);
+    if (job != jobs_.end() && job->second.tasks[key.index].bound == rental)
+      job->second.tasks[key.index].bound = machine;
+  }
+  if (!group.empty()) groups_[machine] = std::move(group);
+}
+
+void Bindings::unbind(const std::vector<TaskKey>& group, const std::string& bound) {
+  for (const auto& key : group) {
+    const auto job = jobs_.find(key.job);
+    if (job != jobs_.end() && job->second.tasks[key.index].bound == bound)
+      job->second.tasks[key.index].bound.clear();
+  }
+  out_.want_placing();
+}
+
+void Bindings::machine_gone(const MachineId& id) {
+  const auto bound = groups_.find(id);
+  if (bound == groups_.end()) return;
+  unbind(bound->second, id);
+  groups_.erase(bound);
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/catalog.hpp
@@ -0,0 +1,66 @@
+// Machine types and teams, as the cloud's catalog and the platform's settings name them
+// (PROTOCOL, "GET /catalog"). It owns both and decides which kinds count as dear.
+#pragma once
+
+#include <map>
+
+#include "core/fleet.hpp"
+#include "core/prices.hpp"
+#include "core/settings.hpp"
+
+namespace violetpulley::core {
+
+// What machines differ in when they are rented.
+struct OptionKey {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  friend auto operator<=>(const OptionKey&, const OptionKey&) = default;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.type, s.zone, s.spot);
+  }
+};
+
+class Catalog {
+ public:
+  explicit Catalog(const ControllerSettings& settings) {
+    for (const auto& team : settings.teams) teams_[team.name] = team;
+  }
+
+  void set_types(std::vector<MachineType> types) {
+    types_.clear();
+    for (auto& type : types) types_[type.name] = std::move(type);
+  }
+  const std::map<std::string, MachineType>& types() const { return types_; }
+  const std::map<std::string, Team>& teams() const { return teams_; }
+
+  // Ordinary machines of this type cost much more than spot ones. The type must be known.
+  bool dear(const std::string& type, bool spot) const {
+    const auto& prices = types_.at(type);
+    return !spot && prices.spot_price > 0 && is_dear(prices.price, prices.spot_price);
+  }
+
+  // Gives a machine what its type says, if the type is known.
+  void apply(Machine& machine) const {
+    const auto found = types_.find(machine.type);
+    if (found == types_.end()) return;
+    const auto& type = found->second;
+    machine.capacity = type.capacity;
+    machine.cache_gb = type.cache_gb;
+    machine.fetch_gb_per_s = type.fetch_gb_per_s;
+    machine.price = machine.spot ? type.spot_price : type.price;
+  }
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.types_);
+  }
+
+ private:
+  std::map<std::string, MachineType> types_;
+  std::map<std::string, Team> teams_;
+};
+
+}  // namespace violetpulley::core
--- a/src/core/estimator.hpp
+++ b/src/core/estimator.hpp
@@ -29,10 +29,20 @@
     return spec.estimate * (trusted ? known->second.ratio : 1.0);
   }
 
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.averages_);
+  }
+
  private:
   struct Average {
     int count = 0;
     double ratio = 1.0;
+
+    template <class S, class F>
+    static void fields(S& s, F&& f) {
+      f(s.count, s.ratio);
+    }
   };
   std::map<std::string, Average> averages_;
 };
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -20,7 +20,7 @@
   Shape shape = Shape::array;
   Seconds estimate{0};  // of what is left after `saved`
   Seconds saved{0};
-  Seconds fetch{0};  // expected image fetch when placed
+  Seconds fetch{0};             // expected image fetch when placed
   Seconds checkpoint_every{0};  // 0: it never saves
   Seconds save_time{0};
   TimePoint placed{};
@@ -32,12 +32,22 @@
   bool preempted = false;  // stopped to make room for others
   Seconds grace{0};        // for saving, when it is stopped
   std::optional<TimePoint> stop_since;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.attempt, s.resources, s.team, s.job_class, s.image, s.shape, s.estimate, s.saved, s.fetch,
+      s.checkpoint_every, s.save_time, s.placed, s.running_since, s.state, s.seen, s.stop,
+      s.abandoned, s.preempted, s.grace, s.stop_since);
+  }
 };
 
 struct CachedImage {
   std::string name;
   double gb = 0;
   bool present = false;  // false: being fetched
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.name, s.gb, s.present);
+  }
 };
 
 struct Machine {
@@ -70,7 +80,7 @@
   bool clearing = false;
   bool quarantined = false;
   bool releasing = false;
-  const char* release_cause = "";
+  std::string release_cause;
   std::optional<TimePoint> release_retry;
   std::optional<TimePoint> underused_since;
   std::optional<TimePoint> sparse_since;  // few replicas and nothing else
@@ -90,6 +100,15 @@
   Resources free_soon() const;
   // Time until its longest task is expected to end (its bin follows from it).
   Seconds remaining(TimePoint now) const;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.id, s.endpoint, s.type, s.zone, s.spot, s.capacity, s.used, s.cache_gb, s.fetch_gb_per_s,
+      s.price, s.session, s.sequence, s.confirmed, s.registered, s.registering, s.since, s.up_since,
+      s.heard, s.notice_ends, s.tasks, s.reported, s.images, s.images_changed, s.clearing,
+      s.quarantined, s.releasing, s.release_cause, s.release_retry, s.underused_since,
+      s.sparse_since, s.idle_since, s.reserved_for, s.errors, s.error_jobs, s.in_doubt,
+      s.starts_in_flight, s.orders_in_flight, s.next_orders);
+  }
 };
 
 Seconds remaining_of(const Assignment& assignment, TimePoint now);
@@ -121,6 +140,11 @@
   std::map<MachineId, Machine>& all() { return machines_; }
   const std::map<MachineId, Machine>& all() const { return machines_; }
 
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.machines_, s.team_use_);
+  }
+
  private:
   std::map<MachineId, Machine> machines_;
   std::map<std::string, Resources> team_use_;
--- a/src/core/gang_rooms.hpp
+++ b/src/core/gang_rooms.hpp
@@ -16,6 +16,11 @@
   TaskIndex asked = 0;    // places on machines that are being rented
   TaskIndex missing = 0;  // places neither claimed nor asked for nor coming back
   TimePoint since{};
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.region, s.machines, s.asked, s.missing, s.since);
+  }
 };
 
 // How many tasks of a job fit into what a machine has free.
@@ -37,8 +42,12 @@
   // Gangs that are short may hold the machines of half of the zones; the rest is for those that
   // find enough at once.
   bool may_be_short(const std::string& region, std::size_t zones) const {
-    return !another_is_short(region) &&
-           short_regions_.size() < std::max<std::size_t>(1, zones / 2);
+    return !another_is_short(region) && short_regions_.size() < std::max<std::size_t>(1, zones / 2);
+  }
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.rooms_, s.short_regions_);
   }
 
  private:
--- a/src/core/controller_gangs.cpp
+++ b/src/core/gangs.cpp
@@ -1,9 +1,10 @@
-// Gangs: all tasks start together under one attempt or none does, and one that has lost a task
-// ends whole before it starts anew (docs/safety.md, "Gangs, services and stops").
+#include "core/gangs.hpp"
+
 #include <algorithm>
+#include <tuple>
 
-#include "core/controller.hpp"
 #include "core/limits.hpp"
+#include "core/packer.hpp"
 
 namespace violetpulley::core {
 
@@ -16,20 +17,14 @@
 // A gang that cannot get on in its zone looks for another one after this.
 constexpr std::chrono::seconds kMoveAfter{3};
 
-TaskIndex most_in_zone(const JobSpec& spec) {
-  return spec.spread ? (spec.tasks + 1) / 2 : spec.tasks;
-}
-
 }  // namespace
 
-// --- starting
-
 // The zones that a gang may collect in: one of them if it has to be together, else any.
-std::vector<std::string> Controller::gang_regions(const JobSpec& spec) const {
+std::vector<std::string> Gangs::regions(const JobSpec& spec) const {
   if (spec.zone) return {*spec.zone};
   if (!spec.same_zone) return {""};
   std::set<std::string> zones;
-  for (const auto& [name, type] : types_)
+  for (const auto& [name, type] : catalog_.types())
     if (spec.per_task.fits_in(type.capacity))
       for (const auto& zone : type.zones) zones.insert(zone);
   return {zones.begin(), zones.end()};
@@ -37,14 +32,14 @@
 
 // Places for the gang's tasks on machines that could take them now, best first, at most as many
 // as it needs.
-std::vector<Controller::GangPlace> Controller::gang_places(
-    const Job& job, const std::string& region, const std::vector<Machine*>& open) const {
+std::vector<Gangs::GangPlace> Gangs::places_for(const Job& job, const std::string& region,
+                                                const std::vector<Machine*>& open) const {
   const auto& spec = job.spec();
   std::vector<GangPlace> found;
   for (auto* machine : open) {
     if (!region.empty() && machine->zone != region) continue;
     if (!machine->reserved_for.empty() && machine->reserved_for != spec.id) continue;
-    if (bound_groups_.contains(machine->id) || job.failed_on.contains(machine->id)) continue;
+    if (bindings_.holds(machine->id) || job.failed_on.contains(machine->id)) continue;
     if (!allowed_on(spec, machine->type, machine->zone, machine->spot)) continue;
     const auto places = places_on(machine->free(), spec);
     if (places > 0) found.push_back({machine, places, image_rank(*machine, spec.image)});
@@ -68,33 +63,23 @@
   return out;
 }
 
-TaskIndex Controller::total(const std::vector<GangPlace>& places) {
+TaskIndex Gangs::total(const std::vector<GangPlace>& places) {
   TaskIndex sum = 0;
   for (const auto& place : places) sum += place.tasks;
   return sum;
 }
 
-// Whether the team's limit has room for the whole gang; what it still has on machines is its own.
-bool Controller::gang_within_limit(const Job& job) const {
-  const auto& spec = job.spec();
-  const auto team = teams_.find(spec.team);
-  if (team == teams_.end()) return false;
-  const auto more = spec.per_task * static_cast<double>(job.waiting.size());
-  return (fleet_.team_use(spec.team) + uncertain_ + more).fits_in(limit_of(team->second));
-}
-
-void Controller::place_gang(const Candidate& candidate, const std::vector<Machine*>& open,
-                            TimePoint now) {
+void Gangs::place(const Candidate& candidate, const std::vector<Machine*>& open, TimePoint now) {
   auto& job = *candidate.job;
   const auto& spec = job.spec();
   // Every machine that it may be on is accounted for: what is not seen of it is lost.
-  if (job.waiting.size() < job.tasks.size()) broken_gangs_.insert(spec.id);
-  if (!gang_within_limit(job)) return rooms_.close(fleet_, spec.id);
+  if (job.waiting.size() < job.tasks.size()) jobs_.note_broken(spec.id);
+  if (!starts_.within_limit(spec, job.waiting.size())) return rooms_.close(fleet_, spec.id);
   if (job.waiting.size() == job.tasks.size()) {
     std::vector<GangPlace> best;
     TaskIndex most_holders = 0;
-    for (const auto& region : gang_regions(spec)) {
-      auto places = gang_places(job, region, open);
+    for (const auto& region : regions(spec)) {
+      auto places = places_for(job, region, open);
       if (total(places) < spec.tasks) continue;
       TaskIndex holders = 0;
       for (const auto& place : places) holders += place.image_rank == 2 ? place.tasks : 0;
@@ -102,70 +87,60 @@
       best = std::move(places);
       most_holders = holders;
     }
-    if (!best.empty() && start_gang(job, best, now)) return rooms_.close(fleet_, spec.id);
+    if (!best.empty() && start(job, best, now)) return rooms_.close(fleet_, spec.id);
   }
   collect(job, open, now);
 }
 
 // Starts all tasks or none. Everything is checked for the whole gang before the first start, and
 // for each task again where it is made.
-bool Controller::start_gang(Job& job, const std::vector<GangPlace>& places, TimePoint now) {
+bool Gangs::start(Job& job, const std::vector<GangPlace>& places, TimePoint now) {
   const auto& spec = job.spec();
-  if (job.waiting.size() != job.tasks.size() || !gang_within_limit(job)) return false;
+  if (job.waiting.size() != job.tasks.size() || !starts_.within_limit(spec, job.waiting.size()))
+    return false;
   ZoneUse zones;
   for (const auto& place : places) {
     zones[place.machine->zone] += place.tasks;
     const auto whole = spec.per_task * static_cast<double>(place.tasks);
-    if (!placeable(*place.machine, now) || !whole.fits_in(place.machine->free())) return false;
+    if (!starts_.placeable(*place.machine, now) || !whole.fits_in(place.machine->free()))
+      return false;
   }
   if (spec.same_zone && zones.size() > 1) return false;
   for (const auto& [zone, count] : zones)
     if (count > most_in_zone(spec)) return false;
-  const auto attempt = next_attempt_++;
+  const auto attempt = starts_.next_attempt();
   TaskIndex index = 0;
   for (const auto& place : places)
     for (TaskIndex n = 0; n < place.tasks; ++n, ++index)
-      if (!start_task(job, index, *place.machine, attempt, now)) {
-        broken_gangs_.insert(spec.id);
+      if (!starts_.start(job, index, *place.machine, attempt, now)) {
+        jobs_.note_broken(spec.id);
         return false;
       }
   job.attempt = attempt;
   return true;
 }
 
-// --- collecting machines
-
-bool Controller::counts_for_gang(const Machine& machine, TimePoint now) const {
+bool Gangs::counts(const Machine& machine, TimePoint now) const {
   if (machine.releasing || machine.clearing || machine.quarantined || machine.notice_ends)
     return false;
   if (machine.up())
-    return placeable(machine, now) ||
+    return starts_.placeable(machine, now) ||
            (!machine.registered && now - machine.up_since.value_or(now) < kRegisters);
-  const auto type = types_.find(machine.type);
-  if (type == types_.end()) return false;
+  const auto type = catalog_.types().find(machine.type);
+  if (type == catalog_.types().end()) return false;
   return now - machine.since < to_duration(type->second.boot * kLateForGang) + kBootSlack;
 }
 
-bool Controller::rentable(const JobSpec& spec, const std::string& region, TimePoint now) const {
-  const auto options = rental_options(now);
-  return std::any_of(options.begin(), options.end(), [&](const RentalOption& option) {
-    return (region.empty() || option.zone == region) &&
-           allowed_on(spec, option.type->name, option.zone, option.spot) &&
-           spec.per_task.fits_in(option.type->capacity);
-  });
-}
-
 // Where a gang should collect: best where it finds enough at once, then where machines can be
 // rented, then by how much is free. None if another gang is short wherever it could.
-std::optional<std::string> Controller::choose_region(const Job& job,
-                                                     const std::vector<Machine*>& open,
-                                                     TimePoint now) const {
+std::optional<std::string> Gangs::choose_region(const Job& job, const std::vector<Machine*>& open,
+                                                TimePoint now) const {
   const auto& spec = job.spec();
   std::optional<std::string> best;
   std::tuple<bool, bool, TaskIndex> best_score{};
-  for (const auto& region : gang_regions(spec)) {
-    const auto free = total(gang_places(job, region, open));
-    const bool can_rent = rentable(spec, region, now);
+  for (const auto& region : regions(spec)) {
+    const auto free = total(places_for(job, region, open));
+    const bool can_rent = market_.rentable(spec, region, now);
     if (!can_rent && free < spec.tasks && rooms_.another_is_short(region)) continue;
     const std::tuple score{free >= spec.tasks, can_rent, free};
     if (best && score <= best_score) continue;
@@ -175,16 +150,16 @@
   return best;
 }
 
-void Controller::collect(Job& job, const std::vector<Machine*>& open, TimePoint now) {
+void Gangs::collect(Job& job, const std::vector<Machine*>& open, TimePoint now) {
   const auto& spec = job.spec();
   auto* room = rooms_.find(spec.id);
   if (room != nullptr && room->missing > 0 && room->asked == 0 &&
-      !rentable(spec, room->region, now)) {
+      !market_.rentable(spec, room->region, now)) {
     const bool give_way = rooms_.another_is_short(room->region);
     bool elsewhere = false;
     if (now - room->since > kMoveAfter)
-      for (const auto& region : gang_regions(spec))
-        elsewhere = elsewhere || (region != room->region && rentable(spec, region, now));
+      for (const auto& region : regions(spec))
+        elsewhere = elsewhere || (region != room->region && market_.rentable(spec, region, now));
     if (give_way || elsewhere) {
       rooms_.close(fleet_, spec.id);
       room = nullptr;
@@ -202,7 +177,7 @@
   };
   for (const auto& id : std::set<MachineId>(room->machines)) {
     auto* machine = fleet_.find(id);
-    if (!counts_for_gang(*machine, now))
+    if (!counts(*machine, now))
       rooms_.release(*machine);
     else
       add(machine->zone, places_on(machine->free_soon(), spec));
@@ -211,7 +186,7 @@
   for (const auto& task : job.tasks)
     if (task.phase == Phase::assigned)
       if (const auto* machine = fleet_.find(task.machine);
-          machine != nullptr && placeable(*machine, now) &&
+          machine != nullptr && starts_.placeable(*machine, now) &&
           (room->region.empty() || room->region == machine->zone))
         add(machine->zone, 1);
   const auto covered = [&] {
@@ -219,7 +194,7 @@
     for (const auto& [zone, places] : use) sum += places;
     return sum;
   };
-  for (const auto& place : gang_places(job, room->region, open)) {
+  for (const auto& place : places_for(job, room->region, open)) {
     if (covered() >= spec.tasks) break;
     if (!place.machine->reserved_for.empty()) continue;
     rooms_.claim(spec.id, *place.machine);
@@ -227,20 +202,20 @@
   }
   const auto sum = covered();
   room->missing = spec.tasks > sum ? spec.tasks - sum : 0;
-  if (room->missing > 0 && room->asked == 0 && !rentable(spec, room->region, now)) {
+  if (room->missing > 0 && room->asked == 0 && !market_.rentable(spec, room->region, now)) {
     std::set<std::string> zones;
-    for (const auto& [name, type] : types_) zones.insert(type.zones.begin(), type.zones.end());
+    for (const auto& [name, type] : catalog_.types())
+      zones.insert(type.zones.begin(), type.zones.end());
     if (!rooms_.may_be_short(room->region, zones.size())) return rooms_.close(fleet_, spec.id);
     rooms_.note_short(room->region);
-    make_room_for_gang(job, *room, now);
+    preemption_.make_room_for_gang(job, *room, rooms_, now);
   }
 }
 
 // The gang is one group over several machines: scored whole on type, zone and kind, and rented in
 // as few calls as can be.
-void Controller::add_gang_rentals(const std::vector<Candidate>& queue, Chosen& chosen,
-                                  TimePoint now) {
-  const auto options = rental_options(now);
+void Gangs::add_rentals(const std::vector<Candidate>& queue, ChosenRentals& chosen, TimePoint now) {
+  const auto options = market_.options(now);
   for (const auto& candidate : queue) {
     if (!candidate.job->gang()) continue;
     const auto& job = *candidate.job;
@@ -257,8 +232,9 @@
       if (!room->region.empty() && option.zone != room->region) continue;
       if (!allowed_on(spec, option.type->name, option.zone, option.spot)) continue;
       if (claimed[option.zone] >= most_in_zone(spec)) continue;
-      const bool waited = !spec.spot_allowed || age(job, now) > settings_.tuning.dear_patience;
-      if (!waited && dear(option.type->name, option.spot)) continue;
+      const bool waited =
+          !spec.spot_allowed || outlooks_.age(job, now) > settings_.tuning.dear_patience;
+      if (!waited && catalog_.dear(option.type->name, option.spot)) continue;
       const auto places = std::min(places_on(option.type->capacity, spec), room->missing);
       if (places == 0) continue;
       const auto machines = (room->missing + places - 1) / places;
@@ -279,12 +255,10 @@
   }
 }
 
-// --- ending
-
 // All tasks of a gang that has lost one must be proven gone before it starts anew: those that have
 // not noticed are stopped. What saves is left to it.
-void Controller::mend_gangs(TimePoint now) {
-  for (const auto& id : std::exchange(broken_gangs_, {})) {
+void Gangs::mend(TimePoint now) {
+  for (const auto& id : jobs_.take_broken()) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) continue;
     auto& job = found->second;
@@ -294,19 +268,38 @@
       if (machine == nullptr) continue;
       const auto assignment = machine->tasks.find({id, i});
       if (assignment != machine->tasks.end() && assignment->second.state != TaskState::saving)
-        stop_task(*machine, assignment->second, now);
+        orders_.stop(*machine, assignment->second, now);
     }
-    placing_wanted_ = true;
+    out_.want_placing();
   }
 }
 
 // One task that is done proves that all are, also those on machines that died since.
-void Controller::gang_done(Job& job) {
+void Gangs::done(Job& job) {
   for (TaskIndex i = 0; i < job.tasks.size(); ++i) {
-    task_done(job, i);
-    if (i % kProgressChunk == 0) progress_changed(job, i);
+    jobs_.task_done(job, i);
+    if (i % kProgressChunk == 0) jobs_.progress_changed(job, i);
   }
   rooms_.close(fleet_, job.spec().id);
 }
 
+void Gangs::asked(const JobId& gang, TaskIndex places) {
+  auto* room = rooms_.find(gang);
+  if (room == nullptr) return;
+  room->asked += places;
+  room->missing -= std::min(room->missing, places);
+}
+
+void Gangs::answered(const JobId& gang, TaskIndex places) {
+  if (auto* room = rooms_.find(gang)) room->asked -= std::min(room->asked, places);
+}
+
+// A gang that has moved on leaves its machine to anyone.
+void Gangs::rented(const JobId& gang, Machine& machine) {
+  const auto* room = rooms_.find(gang);
+  if (room != nullptr && machine.reserved_for.empty() && machine.tasks.empty() &&
+      (room->region.empty() || room->region == machine.zone))
+    rooms_.claim(gang, machine);
+}
+
 }  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/gangs.hpp
@@ -0,0 +1,80 @@
+// Gangs: all tasks start together under one attempt or none does, and one that has lost a task
+// ends whole before it starts anew (docs/safety.md, "Gangs, services and stops").
+// Owns the machines that gangs collect; decides where each collects, starts and what it rents.
+#pragma once
+
+#include "core/market.hpp"
+#include "core/preemption.hpp"
+#include "core/rental_groups.hpp"
+
+namespace violetpulley::core {
+
+class Gangs {
+ public:
+  Gangs(const ControllerSettings& settings, Outbox& out, const Catalog& catalog, Fleet& fleet,
+        Jobs& jobs, Orders& orders, Starts& starts, const Outlooks& outlooks, const Market& market,
+        const Bindings& bindings, Preemption& preemption)
+      : settings_(settings),
+        out_(out),
+        catalog_(catalog),
+        fleet_(fleet),
+        jobs_(jobs),
+        orders_(orders),
+        starts_(starts),
+        outlooks_(outlooks),
+        market_(market),
+        bindings_(bindings),
+        preemption_(preemption) {}
+
+  void new_round() { rooms_.new_round(); }
+  void place(const Candidate& candidate, const std::vector<Machine*>& open, TimePoint now);
+  // Groups of machines for what gangs still miss.
+  void add_rentals(const std::vector<Candidate>& queue, ChosenRentals& chosen, TimePoint now);
+  // Gangs that have lost a task.
+  void mend(TimePoint now);
+  // One task has completed.
+  void done(Job& job);
+
+  void job_closed(const JobId& id) { rooms_.close(fleet_, id); }
+  void machine_gone(Machine& machine) { rooms_.release(machine); }
+  // Places of a gang are being rented, and what came of it: the machine, or none.
+  void asked(const JobId& gang, TaskIndex places);
+  void answered(const JobId& gang, TaskIndex places);
+  void rented(const JobId& gang, Machine& machine);
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.rooms_);
+  }
+
+ private:
+  struct GangPlace {
+    Machine* machine = nullptr;
+    TaskIndex tasks = 0;
+    int image_rank = 0;
+  };
+  std::vector<std::string> regions(const JobSpec& spec) const;
+  std::vector<GangPlace> places_for(const Job& job, const std::string& region,
+                                    const std::vector<Machine*>& open) const;
+  static TaskIndex total(const std::vector<GangPlace>& places);
+  bool start(Job& job, const std::vector<GangPlace>& places, TimePoint now);
+  bool counts(const Machine& machine, TimePoint now) const;
+  std::optional<std::string> choose_region(const Job& job, const std::vector<Machine*>& open,
+                                           TimePoint now) const;
+  void collect(Job& job, const std::vector<Machine*>& open, TimePoint now);
+
+  const ControllerSettings& settings_;
+  Outbox& out_;
+  const Catalog& catalog_;
+  Fleet& fleet_;
+  Jobs& jobs_;
+  Orders& orders_;
+  Starts& starts_;
+  const Outlooks& outlooks_;
+  const Market& market_;
+  const Bindings& bindings_;
+  Preemption& preemption_;
+  GangRooms rooms_;
+};
+
+}  // namespace violetpulley::core
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -17,6 +17,10 @@
   MachineId machine;       // when assigned
   std::string bound;       // rental or booting machine that it waits for
   Seconds saved{0};        // run time that a restart need not repeat
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.phase, s.restarted, s.persisted, s.machine, s.bound, s.saved);
+  }
 };
 
 struct Job {
@@ -37,6 +41,14 @@
   TimePoint backoff_until{};
   Attempt attempt = 0;  // of a gang whose tasks are on machines: they share it
 
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.record, s.carried_over, s.tasks, s.waiting, s.chunks_dirty, s.chunks_in_flight,
+      s.chunks_stored, s.done, s.running, s.finishing, s.finish_retry, s.opened, s.failed_on,
+      s.failures, s.backoff_until, s.attempt);
+  }
+
+  Job() : Job(JobRecord{}) {}
   explicit Job(JobRecord r) : record(std::move(r)), tasks(record.spec.tasks) {
     for (TaskIndex i = 0; i < record.spec.tasks; ++i) waiting.insert(waiting.end(), i);
   }
--- /dev/null
+++ b/src/core/jobs.cpp
@@ -0,0 +1,121 @@
+#include "core/jobs.hpp"
+
+#include <algorithm>
+
+namespace violetpulley::core {
+
+namespace {
+constexpr std::chrono::milliseconds kPersistEvery{1000};
+}  // namespace
+
+void Jobs::open(const JobRecord& record, TimePoint now) {
+  const auto [entry, added] = jobs_.try_emplace(record.spec.id, record);
+  if (!added) return;
+  entry->second.opened = now;
+  out_.want_placing();
+}
+
+void Jobs::close(const JobId& id) {
+  const auto found = jobs_.find(id);
+  auto& job = found->second;
+  if (!job.chunks_stored.empty() || !job.chunks_in_flight.empty()) {
+    auto chunks = job.chunks_stored;
+    chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
+    if (!job.finishing) out_.push_back(DeleteProgress{id, {chunks.begin(), chunks.end()}});
+  }
+  progress_dirty_.erase(id);
+  complete_.erase(id);
+  jobs_.erase(found);
+  out_.want_placing();
+}
+
+void Jobs::inherit(const ProgressRecord& progress) {
+  const auto found = jobs_.find(progress.job);
+  if (found == jobs_.end()) {
+    out_.push_back(DeleteProgress{progress.job, {progress.chunk}});
+    return;
+  }
+  auto& job = found->second;
+  job.chunks_stored.insert(progress.chunk);
+  const auto each = [&](const std::vector<IndexRange>& ranges, auto apply) {
+    for (const auto& [first, last] : ranges)
+      for (TaskIndex i = first; i <= last && i < job.tasks.size(); ++i) apply(i);
+  };
+  each(progress.done, [&](TaskIndex i) {
+    task_done(job, i);
+    job.tasks[i].persisted = true;
+  });
+  each(progress.restarted, [&](TaskIndex i) { job.tasks[i].restarted = true; });
+}
+
+void Jobs::progress_changed(Job& job, TaskIndex index) {
+  job.chunks_dirty.insert(index / kProgressChunk);
+  progress_dirty_.insert(job.spec().id);
+}
+
+void Jobs::task_done(Job& job, TaskIndex index) {
+  job.set_done(index);
+  if (job.complete()) complete_.insert(job.spec().id);
+}
+
+void Jobs::persist(TimePoint now) {
+  if (now - last_persist_ < kPersistEvery) return;
+  last_persist_ = now;
+  for (auto entry = progress_dirty_.begin(); entry != progress_dirty_.end();) {
+    const auto found = jobs_.find(*entry);
+    if (found == jobs_.end() || found->second.complete()) {  // its end is written instead
+      entry = progress_dirty_.erase(entry);
+      continue;
+    }
+    auto& job = found->second;
+    for (auto chunk = job.chunks_dirty.begin(); chunk != job.chunks_dirty.end();) {
+      if (job.chunks_in_flight.contains(*chunk)) {
+        ++chunk;
+        continue;
+      }
+      job.chunks_in_flight.insert(*chunk);
+      const auto first = std::size_t{*chunk} * kProgressChunk;
+      out_.push_back(SaveProgress{job.progress(*chunk),
+                                  std::min<std::size_t>(kProgressChunk, job.tasks.size() - first)});
+      chunk = job.chunks_dirty.erase(chunk);
+    }
+    entry = job.chunks_dirty.empty() ? progress_dirty_.erase(entry) : std::next(entry);
+  }
+}
+
+void Jobs::progress_saved(const SaveProgress& saved, bool ok) {
+  const auto found = jobs_.find(saved.record.job);
+  if (found == jobs_.end()) {
+    if (ok) out_.push_back(DeleteProgress{saved.record.job, {saved.record.chunk}});
+    return;
+  }
+  auto& job = found->second;
+  job.chunks_in_flight.erase(saved.record.chunk);
+  job.chunks_stored.insert(saved.record.chunk);
+  if (!ok) {
+    progress_changed(job, saved.record.chunk * kProgressChunk);
+    return;
+  }
+  for (const auto& [first, last] : saved.record.done)
+    for (TaskIndex i = first; i <= last; ++i) job.tasks[i].persisted = true;
+}
+
+void Jobs::finish_answered(const JobId& id, TimePoint retry) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  found->second.finishing = false;
+  found->second.finish_retry = retry;
+}
+
+void Jobs::finish_complete(TimePoint now) {
+  for (const auto& id : complete_) {
+    auto& job = jobs_.at(id);
+    if (job.finishing || now < job.finish_retry) continue;
+    job.finishing = true;
+    auto chunks = job.chunks_stored;
+    chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
+    out_.push_back(FinishJob{id, job.record.revision, {chunks.begin(), chunks.end()}});
+  }
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/jobs.hpp
@@ -0,0 +1,62 @@
+// Unfinished jobs, what of them is done, and when that is written down (PROTOCOL, "Users"; DESIGN:
+// the state service holds jobs). Owns every Job; decides when progress and ends go to the store.
+#pragma once
+
+#include <set>
+
+#include "core/job_table.hpp"
+#include "core/outbox.hpp"
+
+namespace violetpulley::core {
+
+class Jobs {
+ public:
+  using Table = std::unordered_map<JobId, Job>;
+
+  explicit Jobs(Outbox& out) : out_(out) {}
+
+  Table::iterator find(const JobId& id) { return jobs_.find(id); }
+  Table::const_iterator find(const JobId& id) const { return jobs_.find(id); }
+  Table::iterator begin() { return jobs_.begin(); }
+  Table::const_iterator begin() const { return jobs_.begin(); }
+  Table::iterator end() { return jobs_.end(); }
+  Table::const_iterator end() const { return jobs_.end(); }
+  Job& at(const JobId& id) { return jobs_.at(id); }
+  const Job& at(const JobId& id) const { return jobs_.at(id); }
+  const Table& table() const { return jobs_; }
+
+  void open(const JobRecord& record, TimePoint now);
+  // Forgets the job and the records of its progress.
+  void close(const JobId& id);
+  // What an earlier leader wrote about a job's tasks.
+  void inherit(const ProgressRecord& record);
+
+  void task_done(Job& job, TaskIndex index);
+  void progress_changed(Job& job, TaskIndex index);
+  void progress_saved(const SaveProgress& saved, bool ok);
+  void finish_answered(const JobId& id, TimePoint retry);
+
+  // Writes that are due.
+  void finish_complete(TimePoint now);
+  void persist(TimePoint now);
+
+  // Gangs that have lost a task and must end whole.
+  void note_broken(const JobId& gang) { broken_gangs_.insert(gang); }
+  std::set<JobId> take_broken() { return std::exchange(broken_gangs_, {}); }
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.jobs_, s.progress_dirty_, s.complete_, s.broken_gangs_, s.last_persist_);
+  }
+
+ private:
+  Outbox& out_;
+  Table jobs_;
+  // What is due, so that an event costs what it changes and not a look at everything.
+  std::set<JobId> progress_dirty_;
+  std::set<JobId> complete_;
+  std::set<JobId> broken_gangs_;
+  TimePoint last_persist_{};
+};
+
+}  // namespace violetpulley::core
--- a/src/core/limits.hpp
+++ b/src/core/limits.hpp
@@ -12,4 +12,9 @@
   return {team.max_cpus > 0 ? team.max_cpus : none, team.max_gpus > 0 ? team.max_gpus : none, none};
 }
 
+// How many tasks of a job one zone may have (PROTOCOL, `spread`).
+inline TaskIndex most_in_zone(const JobSpec& spec) {
+  return spec.spread ? (spec.tasks + 1) / 2 : spec.tasks;
+}
+
 }  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/machine_clearing.cpp
@@ -0,0 +1,71 @@
+#include "core/machine_clearing.hpp"
+
+#include <algorithm>
+
+#include "core/clearing.hpp"
+#include "core/starts.hpp"
+
+namespace violetpulley::core {
+
+void Clearing::clear(TimePoint now) {
+  const auto& tuning = settings_.tuning;
+  for (auto& [id, machine] : fleet_.all()) {
+    if (!machine.up() || machine.releasing || catalog_.types().empty()) continue;
+    if (!machine.reserved_for.empty()) {
+      machine.idle_since.reset();
+      machine.underused_since.reset();
+      continue;
+    }
+    // A start that was never answered, of a job that has ended: nothing but the machine's return
+    // proves that it will not be executed yet.
+    const bool only_limbo =
+        std::all_of(machine.tasks.begin(), machine.tasks.end(), [&](const auto& entry) {
+          const auto& task = entry.second;
+          return !task.seen && task.abandoned &&
+                 now - task.placed > to_duration(settings_.workers.lease);
+        });
+    if (only_limbo && machine.confirmed && !bindings_.holds(id)) {
+      if (!machine.idle_since) machine.idle_since = now;
+      // For work that may use no others, ordinary machines are not dear.
+      const bool dear_one = !scarcity_.ordinary_work() && catalog_.types().contains(machine.type) &&
+                            catalog_.dear(machine.type, machine.spot);
+      const auto wait = dear_one ? tuning.dear_idle_wait : tuning.idle_wait;
+      const bool waited = now - *machine.idle_since >= to_duration(wait);
+      if (waited || machine.clearing) watch_.want_release(machine, "idle", now);
+      continue;
+    }
+    machine.idle_since.reset();
+    // Other work fills what replicas leave free; moving one costs replica time, and moving one task
+    // of a gang stops them all (docs/design.md, "Services", "Gangs").
+    const bool stays = std::any_of(machine.tasks.begin(), machine.tasks.end(),
+                                   [](const auto& t) { return t.second.shape != Shape::array; });
+    if (stays || !underused(machine, tuning.clearing_use)) {
+      machine.underused_since.reset();
+      continue;
+    }
+    if (!machine.underused_since) machine.underused_since = now;
+    if (machine.clearing || now - *machine.underused_since < to_duration(tuning.clearing_wait))
+      continue;
+    machine.clearing = true;
+    const auto type = catalog_.types().find(machine.type);
+    Seconds boot = type == catalog_.types().end() ? Seconds(60) : type->second.boot;
+    Seconds fetch{0};
+    bool movable = true;
+    for (const auto& [key, assignment] : machine.tasks) {
+      const auto job = jobs_.find(key.job);
+      if (job == jobs_.end()) continue;
+      fetch = std::max(fetch, fetch_time(job->second.spec(), machine.fetch_gb_per_s));
+      movable = movable && !job->second.tasks[key.index].restarted && !assignment.stop;
+    }
+    if (!movable || !worth_restarting(machine, now, boot, fetch)) continue;
+    for (auto& [key, assignment] : machine.tasks) {
+      const auto job = jobs_.find(key.job);
+      if (job == jobs_.end()) continue;
+      job->second.tasks[key.index].restarted = true;
+      jobs_.progress_changed(job->second, key.index);
+      orders_.stop_saving(machine, key, assignment, settings_.workers.lease, now);
+    }
+  }
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/machine_clearing.hpp
@@ -0,0 +1,37 @@
+// Returning idle machines and clearing underused ones whole (paper 3.4, DESIGN). Owns nothing: the
+// times are the machines' own.
+#pragma once
+
+#include "core/bindings.hpp"
+#include "core/machine_watch.hpp"
+#include "core/scarcity.hpp"
+
+namespace violetpulley::core {
+
+class Clearing {
+ public:
+  Clearing(const ControllerSettings& settings, const Catalog& catalog, Fleet& fleet, Jobs& jobs,
+           Orders& orders, const Bindings& bindings, const Scarcity& scarcity, MachineWatch& watch)
+      : settings_(settings),
+        catalog_(catalog),
+        fleet_(fleet),
+        jobs_(jobs),
+        orders_(orders),
+        bindings_(bindings),
+        scarcity_(scarcity),
+        watch_(watch) {}
+
+  void clear(TimePoint now);
+
+ private:
+  const ControllerSettings& settings_;
+  const Catalog& catalog_;
+  Fleet& fleet_;
+  Jobs& jobs_;
+  Orders& orders_;
+  const Bindings& bindings_;
+  const Scarcity& scarcity_;
+  MachineWatch& watch_;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/orders.cpp
@@ -0,0 +1,105 @@
+#include "core/orders.hpp"
+
+#include <algorithm>
+
+namespace violetpulley::core {
+
+bool Orders::forgettable(const Machine& machine, const TaskReport& entry) const {
+  // Held packets may bring a start once more, and a worker that has forgotten the attempt would
+  // run it anew. So an attempt whose start was ever left unanswered stays in the worker's memory
+  // until the session, the token or the machine ends.
+  if (machine.in_doubt.contains(entry.attempt)) return false;
+  if (entry.cause != ExitCause::done) return true;
+  const auto found = jobs_.find(entry.task.job);
+  if (found != jobs_.end() && found->second.service()) return true;
+  if (found == jobs_.end() || entry.task.index >= found->second.tasks.size()) return true;
+  return found->second.tasks[entry.task.index].persisted;
+}
+
+std::vector<Command> Orders::commands_for(const Machine& machine, bool with_starts) const {
+  std::vector<Command> commands;
+  if (!machine.confirmed) return commands;
+  for (const auto& entry : machine.reported)
+    if (entry.state == TaskState::exited && forgettable(machine, entry))
+      commands.push_back({Verb::forget, entry.task, entry.attempt, Seconds(0)});
+  for (const auto& entry : machine.reported) {
+    if (entry.state == TaskState::exited) continue;
+    const auto ours = machine.tasks.find(entry.task);
+    if (ours == machine.tasks.end() || ours->second.attempt != entry.attempt)
+      commands.push_back({Verb::stop, entry.task, entry.attempt, Seconds(0)});
+  }
+  for (const auto& [key, assignment] : machine.tasks) {
+    // A start that was not answered may be executed late. Where the job still runs, sending it
+    // once more before the stop makes the attempt known, so that its exit is reported.
+    if (with_starts && !assignment.seen && !assignment.abandoned)
+      commands.push_back({Verb::start, key, assignment.attempt, Seconds(0)});
+    // What saves is left to it: a second stop would end it.
+    const bool saves = assignment.state == TaskState::saving && assignment.grace > Seconds(0);
+    if (assignment.stop && !saves)
+      commands.push_back({Verb::stop, key, assignment.attempt, assignment.grace});
+  }
+  return commands;
+}
+
+std::vector<Command> Orders::response_commands(const MachineId& id) const {
+  const auto* machine = fleet_.find(id);
+  return machine == nullptr ? std::vector<Command>{} : commands_for(*machine, false);
+}
+
+void Orders::stop(Machine& machine, Assignment& assignment, TimePoint now, Seconds grace) {
+  if (assignment.stop && assignment.grace <= grace) return;
+  assignment.grace = grace;
+  if (assignment.stop) return want(machine);
+  assignment.stop = true;
+  assignment.stop_since = now;
+  want(machine);
+}
+
+// Stops a task that has to leave its machine. It may save if that fits into the time there is and
+// gains more than it takes; of a gang all tasks must be told together, or the save fails.
+void Orders::stop_saving(Machine& machine, const TaskKey& key, Assignment& assignment,
+                         Seconds available, TimePoint now) {
+  const auto job = jobs_.find(key.job);
+  const bool saves = job != jobs_.end() && worth_saving(assignment, now) &&
+                     available > assignment.save_time + kOrderTravels;
+  if (!saves) return stop(machine, assignment, now);
+  // With more grace than the save takes, a worker that counts a little faster still lets it end.
+  const auto grace = assignment.save_time + kOrderTravels;
+  if (!job->second.gang()) return stop(machine, assignment, now, grace);
+  for (TaskIndex i = 0; i < job->second.tasks.size(); ++i) {
+    if (job->second.tasks[i].phase != Phase::assigned) continue;
+    auto* place = fleet_.find(job->second.tasks[i].machine);
+    if (place == nullptr) continue;
+    const auto mate = place->tasks.find({key.job, i});
+    if (mate != place->tasks.end()) stop(*place, mate->second, now, grace);
+  }
+}
+
+void Orders::send(TimePoint now) {
+  out_.looked_at(orders_due_.size());
+  for (auto due = orders_due_.begin(); due != orders_due_.end();) {
+    const auto& id = *due;
+    auto* known = fleet_.find(id);
+    if (known == nullptr || !known->up() || known->releasing) {
+      due = orders_due_.erase(due);
+      continue;
+    }
+    auto& machine = *known;
+    if (machine.orders_in_flight || now < machine.next_orders) {
+      ++due;
+      continue;
+    }
+    machine.orders_in_flight = true;
+    auto commands = commands_for(machine, true);
+    machine.starts_in_flight.clear();
+    for (const auto& command : commands)
+      if (command.verb == Verb::start) machine.starts_in_flight.push_back(command.attempt);
+    // An empty list under our token confirms a machine; a wrong session is answered with a report
+    // that tells the right one.
+    out_.push_back(SendOrders{id, machine.endpoint, std::max<std::uint64_t>(1, machine.session),
+                              std::move(commands)});
+    due = orders_due_.erase(due);
+  }
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/outlooks.hpp
@@ -0,0 +1,32 @@
+// How long a task still takes and what its job can still gain: estimates with the halfway rule
+// (paper 3.4, DESIGN), deadlines and the operators' aims. Owns nothing but the start's times.
+#pragma once
+
+#include "core/estimator.hpp"
+#include "core/job_table.hpp"
+#include "core/settings.hpp"
+
+namespace violetpulley::core {
+
+// What is left to gain: a deadline or an aim, an aim for being little late, or nothing.
+enum class Outlook { in_time, late, hopeless };
+
+class Outlooks {
+ public:
+  Outlooks(const ControllerSettings& settings, const Estimator& estimator, TimePoint takeover)
+      : settings_(settings), estimator_(estimator), takeover_(takeover) {}
+
+  Seconds estimate(const JobSpec& spec) const { return estimator_.estimate(spec); }
+  Seconds estimate_left(const Job& job, TaskIndex index) const;
+  // Since the job was submitted.
+  Seconds age(const Job& job, TimePoint now) const;
+  Seconds time_left(const Job& job, TimePoint now) const;
+  Outlook outlook(const Job& job, TimePoint now) const;
+
+ private:
+  const ControllerSettings& settings_;
+  const Estimator& estimator_;
+  TimePoint takeover_;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/placing.cpp
@@ -0,0 +1,203 @@
+#include "core/placing.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace violetpulley::core {
+
+namespace {
+
+constexpr std::chrono::seconds kReservationPatience{20};
+
+// How long a task waits for a machine that holds its image, in fetches. Where many tasks wait for
+// each place, a fetch takes room from all of them, and a holder is soon free.
+constexpr double kHolderPatience = 0.3;
+constexpr double kScarcePatience = 5;
+
+// Where machines are scarce, the smallest gangs find places first, until others have waited for
+// this.
+constexpr Seconds kGangAges{20};
+
+// A fetch under this part of the work is not worth waiting for a machine that holds the image.
+// At 0.3, which also changed arrays of 30 s and more, vinsamlag fell from 0.693 to 0.643.
+constexpr double kFetchThatCounts = 0.05;
+
+// Whether a team's guarantee covers this use: a guarantee may be in processors, in GPUs or in both.
+bool covers(const Team& team, const Resources& use) {
+  const bool cpus = team.guaranteed_cpus > 0 || team.guaranteed_gpus > 0;
+  return cpus &&
+         (team.guaranteed_cpus <= 0 || use.cpus <= team.guaranteed_cpus + Resources::kSlack) &&
+         use.gpus <= team.guaranteed_gpus + Resources::kSlack;
+}
+
+}  // namespace
+
+Seconds Placing::longest_fetch(const JobSpec& spec) const {
+  Seconds longest{0};
+  for (const auto& [name, type] : catalog_.types())
+    if (spec.per_task.fits_in(type.capacity))
+      longest = std::max(longest, fetch_time(spec, type.fetch_gb_per_s));
+  return longest;
+}
+
+// The jobs with waiting tasks, in the order in which room goes to them.
+std::vector<Candidate> Placing::waiting_jobs(TimePoint now) {
+  std::vector<Job*> by_age;
+  scarcity_.note_jobs();
+  for (auto& [id, job] : jobs_) {
+    if (job.waiting.empty() || now < job.backoff_until) continue;
+    if (recovery_.unaccounted(job)) continue;
+    by_age.push_back(&job);
+  }
+  std::sort(by_age.begin(), by_age.end(), [](const Job* a, const Job* b) {
+    return std::tie(a->record.submitted, a->spec().id) <
+           std::tie(b->record.submitted, b->spec().id);
+  });
+  std::vector<Candidate> queue;
+  std::map<std::string, Resources> claimed;
+  for (auto* job : by_age) {
+    const auto& spec = job->spec();
+    const auto team = catalog_.teams().find(spec.team);
+    auto& claim = claimed.try_emplace(spec.team, fleet_.team_use(spec.team)).first->second;
+    const auto waiting = spec.per_task * static_cast<double>(job->waiting.size());
+    claim += waiting;
+    const bool guaranteed = team != catalog_.teams().end() && covers(team->second, claim);
+    const auto estimate = outlooks_.estimate_left(*job, *job->waiting.begin());
+    const double size = spec.per_task.gpus > 0 ? waiting.gpus : waiting.cpus;
+    const bool aged = job->gang() && outlooks_.age(*job, now) > kGangAges;
+    queue.push_back(
+        {job, estimate, guaranteed, outlooks_.outlook(*job, now), estimate.count() * size, aged});
+  }
+  // The design's order is longest first. Before it come priority, for the deadlines, and work
+  // within a team's guarantee (docs/design.md, "Order of the queue").
+  std::stable_sort(queue.begin(), queue.end(), [](const Candidate& a, const Candidate& b) {
+    const auto& x = a.job->spec();
+    const auto& y = b.job->spec();
+    if (x.priority != y.priority) return x.priority > y.priority;
+    if (a.aged != b.aged) return a.aged;
+    if (a.aged) return a.job->record.submitted < b.job->record.submitted;
+    if (a.guaranteed != b.guaranteed) return a.guaranteed;
+    if (a.outlook != b.outlook) return a.outlook < b.outlook;
+    return a.work < b.work;
+  });
+  return queue;
+}
+
+// Bound groups come first, on the machine that was rented for them.
+void Placing::place_bound(Packer& packer, TimePoint now) {
+  const auto ready = [&](const MachineId& id) {
+    const auto* machine = fleet_.find(id);
+    return machine == nullptr || starts_.placeable(*machine, now);
+  };
+  bindings_.settle(ready, [&](Job& job, TaskIndex index, const MachineId& id) {
+    auto* machine = fleet_.find(id);
+    if (machine != nullptr && starts_.start(job, index, *machine, starts_.next_attempt(), now))
+      packer.placed(*machine);
+  });
+}
+
+void Placing::place_job(Packer& packer, const Candidate& candidate, bool holders_only,
+                        TimePoint now) {
+  auto& job = *candidate.job;
+  const auto& spec = job.spec();
+  if (job.gang() || job.waiting.empty() || !starts_.within_limit(spec)) return;
+  // Waiting for a machine that holds the image pays only where the fetch is long against the work.
+  const auto fetch = longest_fetch(spec);
+  const double patience = scarcity_.places_scarce() ? kScarcePatience : kHolderPatience;
+  const bool waited = fetch < candidate.estimate * kFetchThatCounts ||
+                      now - job.opened > to_duration(fetch * patience);
+  const int least_rank = holders_only && !waited ? 1 : 0;
+  const bool patient = scarcity_.narrow_waits() || now - job.opened < kReservationPatience;
+  const auto barred = patient ? scarcity_.types_for_others(spec) : std::vector<std::string>{};
+  // Exception to the design: empty ordinary machines are left to work that may use no others
+  // (docs/design.md, "Ordinary machines").
+  const bool leaves_ordinary = scarcity_.ordinary_work() && spec.spot_allowed &&
+                               outlooks_.age(job, now) < settings_.tuning.dear_patience;
+  // Where a job is bound to zones, each start changes what the next one may use.
+  const bool zoned = spec.same_zone || spec.spread;
+  for (bool started = true; started;) {
+    started = false;
+    const auto zones = starts_.zone_use(job);
+    auto choices = packer.choices(
+        spec, candidate.estimate,
+        [&](const Machine& m) {
+          return allowed_on(spec, m.type, m.zone, m.spot) && m.reserved_for.empty() &&
+                 !(leaves_ordinary && !m.spot && m.tasks.empty() &&
+                   catalog_.dear(m.type, m.spot)) &&
+                 std::find(barred.begin(), barred.end(), m.type) == barred.end() &&
+                 !job.failed_on.contains(m.id) && zone_allowed(spec, zones, m.zone);
+        },
+        least_rank);
+    for (auto next = job.waiting.begin(); next != job.waiting.end() && !(zoned && started);) {
+      const auto index = *next++;  // a start takes it out of the set
+      if (!job.tasks[index].bound.empty() && !settings_.tuning.bound_tasks_may_move) continue;
+      auto* machine = choices.best();
+      if (machine == nullptr || !starts_.start(job, index, *machine, starts_.next_attempt(), now))
+        return;
+      choices.placed(*machine);
+      started = true;
+    }
+    if (!zoned) return;
+  }
+}
+
+bool Placing::round(TimePoint now) {
+  const bool round_due = now - last_place_ >= to_duration(settings_.tuning.round);
+  const bool quick =
+      out_.placing_wanted() && now - last_place_ >= to_duration(settings_.tuning.quick_round);
+  if (!round_due && !quick) return false;
+  last_place_ = now;
+  out_.placing_begins();
+  place(now);
+  return true;
+}
+
+void Placing::place(TimePoint now) {
+  if (catalog_.types().empty()) return;
+  recovery_.refresh();
+  scarcity_.note_narrow_types(now);
+  const auto queue = waiting_jobs(now);
+  scarcity_.note_waiting(std::any_of(queue.begin(), queue.end(), [&](const Candidate& candidate) {
+    return std::any_of(catalog_.types().begin(), catalog_.types().end(), [&](const auto& entry) {
+      return !candidate.job->spec().per_task.fits_in(entry.second.capacity);
+    });
+  }));
+  // Full machines are of no use to anybody: with a large fleet that is nearly all of them.
+  Resources least{1e18, 1e18, 1e18};
+  for (const auto& candidate : queue) {
+    const auto& need = candidate.job->spec().per_task;
+    least = {std::min(least.cpus, need.cpus), std::min(least.gpus, need.gpus),
+             std::min(least.memory_gb, need.memory_gb)};
+  }
+  Packer packer(settings_.tuning.bin_unit, now);
+  std::vector<Machine*> open;
+  if (!queue.empty())
+    for (auto& [id, machine] : fleet_.all())
+      if (least.fits_in(machine.free()) && starts_.placeable(machine, now))
+        open.push_back(&machine);
+  std::size_t waiting = 0;
+  for (const auto& candidate : queue)
+    if (!candidate.job->gang()) waiting += candidate.job->waiting.size();
+  JobSpec smallest;  // a large machine has room for many tasks: places count, not machines
+  smallest.per_task = least;
+  smallest.tasks = static_cast<TaskIndex>(std::min<std::size_t>(waiting, 100'000));
+  std::size_t places = 1;
+  for (const auto* machine : open) places += places_on(machine->free(), smallest);
+  scarcity_.note_places(waiting, places);
+  if (scarcity_.gangs()) packer.keep_whole();
+  for (auto* machine : open) packer.offer(*machine);
+  place_bound(packer, now);
+  gangs_.new_round();
+  // Two passes: room first goes to tasks whose image is there, whatever their place in the queue,
+  // unless a task has waited for as long as its fetch takes; then to the others.
+  for (const bool holders_only : {true, false})
+    for (const auto& candidate : queue) {
+      if (candidate.job->gang() && holders_only) gangs_.place(candidate, open, now);
+      if (!packer.empty()) place_job(packer, candidate, holders_only, now);
+    }
+  preemption_.make_room_for_services(queue, now);
+  out_.looked_at(fleet_.all().size() + packer.looks());
+  rentals_.round(queue, now);
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/placing.hpp
@@ -0,0 +1,62 @@
+// Rounds of packing (paper 3.2.2, DESIGN): the queue of waiting jobs, room for each by run-time
+// bins, images first (docs/design.md, "Exceptions"). Owns when the last round was; starts go
+// through `Starts`, what finds no room to `Rentals`.
+#pragma once
+
+#include "core/packer.hpp"
+#include "core/rentals.hpp"
+
+namespace violetpulley::core {
+
+class Placing {
+ public:
+  Placing(const ControllerSettings& settings, Outbox& out, const Catalog& catalog, Fleet& fleet,
+          Jobs& jobs, Recovery& recovery, const Outlooks& outlooks, Starts& starts,
+          Bindings& bindings, Scarcity& scarcity, Preemption& preemption, Gangs& gangs,
+          Rentals& rentals)
+      : settings_(settings),
+        out_(out),
+        catalog_(catalog),
+        fleet_(fleet),
+        jobs_(jobs),
+        recovery_(recovery),
+        outlooks_(outlooks),
+        starts_(starts),
+        bindings_(bindings),
+        scarcity_(scarcity),
+        preemption_(preemption),
+        gangs_(gangs),
+        rentals_(rentals) {}
+
+  // Holds a round if one is due, and tells whether it was.
+  bool round(TimePoint now);
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.last_place_);
+  }
+
+ private:
+  void place(TimePoint now);
+  std::vector<Candidate> waiting_jobs(TimePoint now);
+  void place_bound(Packer& packer, TimePoint now);
+  void place_job(Packer& packer, const Candidate& candidate, bool holders_only, TimePoint now);
+  Seconds longest_fetch(const JobSpec& spec) const;
+
+  const ControllerSettings& settings_;
+  Outbox& out_;
+  const Catalog& catalog_;
+  Fleet& fleet_;
+  Jobs& jobs_;
+  Recovery& recovery_;
+  const Outlooks& outlooks_;
+  Starts& starts_;
+  Bindings& bindings_;
+  Scarcity& scarcity_;
+  Preemption& preemption_;
+  Gangs& gangs_;
+  Rentals& rentals_;
+  TimePoint last_place_{};
+};
+
+}  // namespace violetpulley::core
--- a/src/core/controller_preemption.cpp
+++ b/src/core/preemption.cpp
@@ -1,13 +1,13 @@
-// Making room for work of higher priority (PROTOCOL, "Preemption"). Only services and gangs ask for
-// it: arrays come and go, and their own turn comes soon. A task is stopped for others once at most,
-// as for clearing, and what loses least goes first.
+#include "core/preemption.hpp"
+
 #include <algorithm>
 
-#include "core/controller.hpp"
+#include "core/packer.hpp"
+#include "core/scaler.hpp"
 
 namespace violetpulley::core {
 
-bool Controller::preemptible(const TaskKey& key, const Assignment& assignment,
+bool Preemption::preemptible(const TaskKey& key, const Assignment& assignment,
                              Priority priority) const {
   if (assignment.shape != Shape::array || assignment.stop || assignment.abandoned) return false;
   const auto job = jobs_.find(key.job);
@@ -15,21 +15,20 @@
          !job->second.tasks[key.index].restarted;
 }
 
-void Controller::preempt(Machine& machine, const TaskKey& key, Seconds available, TimePoint now) {
+void Preemption::preempt(Machine& machine, const TaskKey& key, Seconds available, TimePoint now) {
   auto& job = jobs_.at(key.job);
   job.tasks[key.index].restarted = true;
-  progress_changed(job, key.index);
+  jobs_.progress_changed(job, key.index);
   auto& assignment = machine.tasks.at(key);
   assignment.preempted = true;
-  stop_saving(machine, key, assignment, available, now);
+  orders_.stop_saving(machine, key, assignment, available, now);
 }
 
 // Replicas that found no place get that of another task, at once and without a save: users wait.
-void Controller::make_room_for_services(const std::vector<Candidate>& queue, TimePoint now) {
+void Preemption::make_room_for_services(const std::vector<Candidate>& queue, TimePoint now) {
   TaskIndex needed = 0;
   for (const auto& candidate : queue)
-    if (candidate.job->service())
-      needed += static_cast<TaskIndex>(candidate.job->waiting.size());
+    if (candidate.job->service()) needed += static_cast<TaskIndex>(candidate.job->waiting.size());
   if (needed == 0) return;
   struct Victim {
     Machine* machine;
@@ -39,21 +38,21 @@
   std::vector<Victim> victims;
   TaskIndex coming = 0;
   for (auto& [id, machine] : fleet_.all()) {
-    if (!placeable(machine, now) || !machine.reserved_for.empty()) continue;
+    if (!starts_.placeable(machine, now) || !machine.reserved_for.empty()) continue;
     for (const auto& [key, assignment] : machine.tasks) {
       if (assignment.preempted && assignment.stop) ++coming;
       if (preemptible(key, assignment, Priority::production))
         victims.push_back({&machine, key, cost_of_stop(assignment, now)});
     }
   }
-  looks_ += fleet_.all().size();
+  out_.looked_at(fleet_.all().size());
   std::stable_sort(victims.begin(), victims.end(),
                    [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
   for (const auto& candidate : queue) {
     const auto& job = *candidate.job;
     const auto& spec = job.spec();
-    if (!job.service() || !within_limit(spec)) continue;
-    auto zones = zone_use(job);
+    if (!job.service() || !starts_.within_limit(spec)) continue;
+    auto zones = starts_.zone_use(job);
     auto wanted = static_cast<TaskIndex>(job.waiting.size());
     const auto spared = std::min(wanted, coming);  // room that is coming already
     wanted -= spared;
@@ -64,16 +63,14 @@
         if (wanted == 0) break;
         if (victim.machine == nullptr) continue;
         auto& machine = *victim.machine;
-        const bool shared = std::any_of(machine.tasks.begin(), machine.tasks.end(), [](auto& t) {
-          return t.second.shape == Shape::service;
-        });
+        const bool shared = std::any_of(machine.tasks.begin(), machine.tasks.end(),
+                                        [](auto& t) { return t.second.shape == Shape::service; });
         const int rank = image_rank(machine, spec.image) == 2 ? 2 : shared ? 1 : 0;
         const auto& room = machine.tasks.at(victim.key).resources;
         if (rank < least || !spec.per_task.fits_in(machine.free() + room)) continue;
         if (spec.priority <= jobs_.at(victim.key.job).spec().priority) continue;
         if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) continue;
-        if (spec.spread && zones[machine.zone] + 1 > (spec.tasks + 1) / 2) continue;
-        if (spec.same_zone && !zones.empty() && !zones.contains(machine.zone)) continue;
+        if (!zone_allowed(spec, zones, machine.zone)) continue;
         ++zones[machine.zone];
         preempt(machine, victim.key, Seconds(0), now);
         victim.machine = nullptr;
@@ -84,7 +81,8 @@
 
 // A gang that cannot rent what it misses gets whole machines on which only lesser work runs. They
 // are its own from the first stop on, so that no more is stopped than it asked for.
-void Controller::make_room_for_gang(const Job& job, GangRoom& room, TimePoint now) {
+void Preemption::make_room_for_gang(const Job& job, GangRoom& room, GangRooms& rooms,
+                                    TimePoint now) {
   const auto& spec = job.spec();
   struct Place {
     Machine* machine;
@@ -94,8 +92,9 @@
   std::vector<Place> places;
   for (auto& [id, machine] : fleet_.all()) {
     if (!room.region.empty() && machine.zone != room.region) continue;
-    if (!placeable(machine, now) || !machine.reserved_for.empty() || machine.tasks.empty()) continue;
-    if (bound_groups_.contains(id) || job.failed_on.contains(id)) continue;
+    if (!starts_.placeable(machine, now) || !machine.reserved_for.empty() || machine.tasks.empty())
+      continue;
+    if (bindings_.holds(id) || job.failed_on.contains(id)) continue;
     if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) continue;
     Seconds cost{0};
     bool all = true;
@@ -106,12 +105,12 @@
     const auto tasks = places_on(machine.capacity, spec);
     if (all && tasks > 0) places.push_back({&machine, tasks, cost});
   }
-  looks_ += fleet_.all().size();
+  out_.looked_at(fleet_.all().size());
   std::stable_sort(places.begin(), places.end(),
                    [](const Place& a, const Place& b) { return a.cost < b.cost; });
   for (const auto& place : places) {
     if (room.missing == 0) return;
-    rooms_.claim(spec.id, *place.machine);
+    rooms.claim(spec.id, *place.machine);
     room.missing -= std::min(room.missing, place.tasks);
     std::vector<TaskKey> keys;
     for (const auto& [key, assignment] : place.machine->tasks) keys.push_back(key);
--- /dev/null
+++ b/src/core/queue.hpp
@@ -0,0 +1,18 @@
+// A job with waiting tasks in the order in which room goes to them (docs/design.md, "Order of the
+// queue"). Values only, made anew each round.
+#pragma once
+
+#include "core/outlooks.hpp"
+
+namespace violetpulley::core {
+
+struct Candidate {
+  Job* job = nullptr;
+  Seconds estimate{0};
+  bool guaranteed = false;
+  Outlook outlook = Outlook::hopeless;
+  double work = 0;    // of its waiting tasks
+  bool aged = false;  // a gang that has waited long: smaller ones pass it no more
+};
+
+}  // namespace violetpulley::core
--- a/src/core/rate_limiter.hpp
+++ b/src/core/rate_limiter.hpp
@@ -45,6 +45,11 @@
     burst_ = burst;
   }
 
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.per_second_, s.burst_, s.level_, s.last_);
+  }
+
  private:
   void refill(TimePoint now) {
     if (last_ && now > *last_)
--- /dev/null
+++ b/src/core/recovery.cpp
@@ -0,0 +1,61 @@
+#include "core/recovery.hpp"
+
+#include <algorithm>
+
+#include "core/scaler.hpp"
+
+namespace violetpulley::core {
+
+// Until every machine registered at the takeover is accounted for, tasks of older jobs that were
+// seen nowhere may be on any of the others (docs/safety.md, "One copy of a task", 3).
+void Recovery::check(TimePoint now) {
+  if (!recovering_) return;
+  if (now >= older_leases_end_) unconfirmed_.clear();
+  if (!unconfirmed_.empty()) return;
+  recovering_ = false;
+  out_.want_placing();
+}
+
+// A task of an older job that was seen nowhere may be on an unconfirmed machine, if its job may run
+// there at all: no leader ever starts a task where its job does not allow it.
+bool Recovery::unaccounted(const Job& job) const {
+  return recovering_ && job.carried_over &&
+         std::any_of(unconfirmed_kinds_.begin(), unconfirmed_kinds_.end(),
+                     [&](const OptionKey& kind) {
+                       return allowed_on(job.spec(), kind.type, kind.zone, kind.spot);
+                     });
+}
+
+// What may be on machines beyond what is known: on a machine that has not answered yet, as much as
+// it holds; the same while one lists tasks whose job has ended and whose team is unknown.
+Resources Recovery::uncertain_use() const {
+  Resources total;
+  for (const auto& id : foreign_)
+    if (const auto* machine = fleet_.find(id)) total += machine->capacity;
+  for (const auto& id : unconfirmed_)
+    if (const auto* machine = fleet_.find(id); machine != nullptr && !foreign_.contains(id))
+      total += machine->capacity;
+  return total;
+}
+
+// Live tasks of jobs that are unknown here take room and count for a team that is unknown.
+void Recovery::note_foreign(Machine& machine) {
+  const bool foreign =
+      std::any_of(machine.reported.begin(), machine.reported.end(), [&](const TaskReport& entry) {
+        return entry.state != TaskState::exited && !machine.tasks.contains(entry.task);
+      });
+  if (foreign)
+    foreign_.insert(machine.id);
+  else
+    foreign_.erase(machine.id);
+}
+
+void Recovery::refresh() {
+  uncertain_ = uncertain_use();
+  unconfirmed_kinds_.clear();
+  for (const auto& id : unconfirmed_)
+    if (const auto* machine = fleet_.find(id))
+      unconfirmed_kinds_.insert({machine->type, machine->zone, machine->spot});
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/recovery.hpp
@@ -0,0 +1,60 @@
+// What a new leader does not know yet: machines registered before its takeover that have not
+// answered, and machines that list tasks of unknown jobs (docs/safety.md, "One copy of a task", 3
+// and "Limits and places"; DESIGN: a new leader rebuilds from reports before placing). Owns both
+// sets; decides which jobs are held up and how much room counts as possibly used.
+#pragma once
+
+#include <set>
+
+#include "core/catalog.hpp"
+#include "core/job_table.hpp"
+#include "core/outbox.hpp"
+
+namespace violetpulley::core {
+
+class Recovery {
+ public:
+  // `older_leases_end`: when the leases that older leaders may have renewed have run out.
+  Recovery(Outbox& out, Fleet& fleet, TimePoint older_leases_end)
+      : out_(out), fleet_(fleet), older_leases_end_(older_leases_end) {}
+
+  // A machine on which an older leader may have started tasks.
+  void expect(const Machine& machine) {
+    unconfirmed_.insert(machine.id);
+    unconfirmed_kinds_.insert({machine.type, machine.zone, machine.spot});
+  }
+  // It has answered under our token, or is gone.
+  void accounted(const MachineId& id) { unconfirmed_.erase(id); }
+  bool waits_for(const MachineId& id) const { return unconfirmed_.contains(id); }
+  std::size_t waiting() const { return unconfirmed_.size(); }
+
+  void check(TimePoint now);
+  bool recovering() const { return recovering_; }
+  // Whether a task of this job that was seen nowhere may be on a machine that has not answered.
+  bool unaccounted(const Job& job) const;
+
+  void note_foreign(Machine& machine);
+
+  // Counts what is uncertain anew; `uncertain` holds until the next round.
+  void refresh();
+  const Resources& uncertain() const { return uncertain_; }
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.recovering_, s.unconfirmed_, s.unconfirmed_kinds_, s.foreign_, s.uncertain_);
+  }
+
+ private:
+  Resources uncertain_use() const;
+
+  Outbox& out_;
+  Fleet& fleet_;
+  TimePoint older_leases_end_;
+  bool recovering_ = true;
+  std::set<MachineId> unconfirmed_;
+  std::set<OptionKey> unconfirmed_kinds_;  // type, zone and kind of those; may tell of too many
+  std::set<MachineId> foreign_;            // machines that list tasks of jobs that are unknown here
+  Resources uncertain_;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/registry.cpp
@@ -0,0 +1,35 @@
+#include "core/registry.hpp"
+
+namespace violetpulley::core {
+
+namespace {
+constexpr std::chrono::seconds kRemembered{90};
+}  // namespace
+
+void Registry::save(Machine& machine) {
+  MachineRecord record{machine.id, machine.endpoint, machine.type, machine.zone, machine.spot, {}};
+  for (const auto& image : machine.images)
+    if (image.present) record.images.emplace_back(image.name, image.gb);
+  machine.images_changed = false;
+  machine.registering = machine.up();
+  out_.push_back(SaveMachine{std::move(record), machine.registered});
+}
+
+void Registry::saved(const MachineId& id, bool with_endpoint, bool ok) {
+  auto* machine = fleet_.find(id);
+  if (machine == nullptr) {
+    if (ok) out_.push_back(DeleteMachine{id});
+    return;
+  }
+  if (with_endpoint) machine->registering = false;
+  // A leader starts tasks only on machines whose record is committed with its endpoint: the
+  // next leader must know every machine that it has to confirm.
+  if (ok && with_endpoint) machine->registered = true;
+  out_.want_placing();
+}
+
+void Registry::forget_old(TimePoint now) {
+  std::erase_if(released_, [&](const auto& entry) { return now - entry.second > kRemembered; });
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/registry.hpp
@@ -0,0 +1,38 @@
+// The records of machines in the state service (docs/safety.md, "One copy of a task", 2), and which
+// machines were returned lately, since the cloud's list and reports lag. Owns the latter.
+#pragma once
+
+#include <map>
+
+#include "core/fleet.hpp"
+#include "core/outbox.hpp"
+
+namespace violetpulley::core {
+
+class Registry {
+ public:
+  Registry(Outbox& out, Fleet& fleet) : out_(out), fleet_(fleet) {}
+
+  void save(Machine& machine);
+  void saved(const MachineId& id, bool with_endpoint, bool ok);
+
+  // The cloud has proved that it is gone.
+  void released(const MachineId& id, TimePoint now) {
+    released_[id] = now;
+    out_.push_back(DeleteMachine{id});
+  }
+  bool was_released(const MachineId& id) const { return released_.contains(id); }
+  void forget_old(TimePoint now);
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.released_);
+  }
+
+ private:
+  Outbox& out_;
+  Fleet& fleet_;
+  std::map<MachineId, TimePoint> released_;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/rental_groups.hpp
@@ -0,0 +1,26 @@
+// What rentals are for: values handed between the parts that choose machines to rent.
+#pragma once
+
+#include "core/catalog.hpp"
+
+namespace violetpulley::core {
+
+// Where fewer machines come than were asked for, those first in this order get them.
+enum class RentalRank { service, gang, array };
+
+// What one machine of a rental is for: the tasks bound to it, or places of a gang.
+struct RentalGroup {
+  std::vector<TaskKey> tasks;
+  JobId gang;
+  TaskIndex places = 0;
+  RentalRank rank = RentalRank::array;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.tasks, s.gang, s.places, s.rank);
+  }
+};
+
+using ChosenRentals = std::map<OptionKey, std::vector<RentalGroup>>;
+
+}  // namespace violetpulley::core
--- a/src/core/controller_replicas.cpp
+++ b/src/core/replicas.cpp
@@ -1,41 +1,43 @@
-// Clearing machines that only replicas keep (DESIGN's clearing, for tasks without an end): what
-// remains of a replica is endless and a move loses no work, but it leaves a gap. So machines are
-// cleared whole as elsewhere, only to machines that hold the image and other replicas, and few
-// replicas are on the move at a time.
+#include "core/replicas.hpp"
+
 #include <algorithm>
 
 #include "core/clearing.hpp"
-#include "core/controller.hpp"
+#include "core/limits.hpp"
+#include "core/packer.hpp"
+#include "core/scaler.hpp"
 
 namespace violetpulley::core {
 
 namespace {
 // One replica in so many may be on the move.
 constexpr std::size_t kReplicasPerMove = 300;
+constexpr std::chrono::milliseconds kGatherEvery{1000};
 }  // namespace
 
 // Where a replica could go: beside other replicas, with its image, in a zone that its job allows.
-Machine* Controller::place_for_replica(const Job& job, const Machine& from,
-                                       const std::vector<Machine*>& hosts,
-                                       const std::map<MachineId, Resources>& taken) const {
+Machine* Replicas::place_for(const Job& job, const Machine& from,
+                             const std::vector<Machine*>& hosts,
+                             const std::map<MachineId, Resources>& taken) const {
   const auto& spec = job.spec();
-  auto zones = zone_use(job);
+  auto zones = starts_.zone_use(job);
   if (const auto here = zones.find(from.zone); here != zones.end()) --here->second;
   for (auto* machine : hosts) {
     if (machine->id == from.id || machine->clearing) continue;
     const auto claimed = taken.find(machine->id);
-    const auto room =
-        claimed == taken.end() ? machine->free() : machine->free() - claimed->second;
+    const auto room = claimed == taken.end() ? machine->free() : machine->free() - claimed->second;
     if (!spec.per_task.fits_in(room) || image_rank(*machine, spec.image) < 2) continue;
     if (!allowed_on(spec, machine->type, machine->zone, machine->spot)) continue;
     if (spec.same_zone && machine->zone != from.zone) continue;
-    if (spec.spread && zones[machine->zone] + 1 > (spec.tasks + 1) / 2) continue;
+    if (spec.spread && zones[machine->zone] + 1 > most_in_zone(spec)) continue;
     return machine;
   }
   return nullptr;
 }
 
-void Controller::clear_replicas(TimePoint now) {
+void Replicas::gather(TimePoint now) {
+  if (now - last_gather_ < kGatherEvery) return;
+  last_gather_ = now;
   std::size_t replicas = 0;
   std::size_t moving = 0;
   std::vector<Machine*> hosting;
@@ -47,23 +49,23 @@
                        });
     for (const auto& [key, task] : machine.tasks)
       if (task.shape == Shape::service) ++(task.running_since && !task.stop ? replicas : moving);
-    if (!hosts || !machine.reserved_for.empty() || bound_groups_.contains(id)) {
+    if (!hosts || !machine.reserved_for.empty() || bindings_.holds(id)) {
       machine.sparse_since.reset();
       continue;
     }
-    if (placeable(machine, now)) hosting.push_back(&machine);
+    if (starts_.placeable(machine, now)) hosting.push_back(&machine);
     // At half of its room or less it is worth clearing: two such machines make one.
     if (!underused(machine, settings_.tuning.clearing_use + 1e-6)) {
       machine.sparse_since.reset();
       continue;
     }
     if (!machine.sparse_since) machine.sparse_since = now;
-    if (machine.clearing || (now - *machine.sparse_since >=
-                                 to_duration(settings_.tuning.clearing_wait) &&
-                             placeable(machine, now)))
+    if (machine.clearing ||
+        (now - *machine.sparse_since >= to_duration(settings_.tuning.clearing_wait) &&
+         starts_.placeable(machine, now)))
       sparse.push_back(&machine);
   }
-  looks_ += fleet_.all().size();
+  out_.looked_at(fleet_.all().size());
   for (const auto& [id, job] : jobs_)
     if (job.service()) moving += job.waiting.size();
   const auto most = std::max<std::size_t>(1, replicas / kReplicasPerMove);
@@ -79,7 +81,7 @@
       const auto job = jobs_.find(entry.first.job);
       if (job == jobs_.end() || job->second.tasks[entry.first.index].restarted) return false;
       if (entry.second.stop) return true;
-      auto* target = place_for_replica(job->second, *machine, hosting, taken);
+      auto* target = place_for(job->second, *machine, hosting, taken);
       if (target == nullptr) return false;
       taken[target->id] += entry.second.resources;
       return true;
@@ -92,7 +94,7 @@
     for (auto& [key, assignment] : machine->tasks) {
       if (moving >= most) return;
       if (assignment.stop) continue;
-      stop_task(*machine, assignment, now);
+      orders_.stop(*machine, assignment, now);
       ++moving;
     }
   }
--- /dev/null
+++ b/src/core/replicas.hpp
@@ -0,0 +1,46 @@
+// Clearing machines that only replicas keep (DESIGN's clearing, for tasks without an end): what
+// remains of a replica is endless and a move loses no work, but it leaves a gap. So machines are
+// cleared whole as elsewhere, only to machines that hold the image and other replicas, and few
+// replicas are on the move at a time. Owns when it last looked.
+#pragma once
+
+#include "core/bindings.hpp"
+#include "core/starts.hpp"
+
+namespace violetpulley::core {
+
+class Replicas {
+ public:
+  Replicas(const ControllerSettings& settings, Outbox& out, Fleet& fleet, const Jobs& jobs,
+           Orders& orders, const Starts& starts, const Bindings& bindings)
+      : settings_(settings),
+        out_(out),
+        fleet_(fleet),
+        jobs_(jobs),
+        orders_(orders),
+        starts_(starts),
+        bindings_(bindings) {}
+
+  // Gathers sparse replicas when that is due.
+  void gather(TimePoint now);
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.last_gather_);
+  }
+
+ private:
+  Machine* place_for(const Job& job, const Machine& from, const std::vector<Machine*>& hosts,
+                     const std::map<MachineId, Resources>& taken) const;
+
+  const ControllerSettings& settings_;
+  Outbox& out_;
+  Fleet& fleet_;
+  const Jobs& jobs_;
+  Orders& orders_;
+  const Starts& starts_;
+  const Bindings& bindings_;
+  TimePoint last_gather_{};
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/reports.cpp
@@ -0,0 +1,219 @@
+#include "core/reports.hpp"
+
+#include <algorithm>
+
+namespace violetpulley::core {
+
+using std::chrono::milliseconds;
+
+namespace {
+constexpr milliseconds kOrdersRetry{1000};
+}  // namespace
+
+void Reports::report(const WorkerReport& report, TimePoint now) {
+  if (report.token > token_) {
+    out_.push_back(Resign{"worker " + report.machine + " has seen a higher token"});
+    return;
+  }
+  auto* known = fleet_.find(report.machine);
+  if (known == nullptr) {
+    // A machine that was released may still have a report on its way.
+    if (registry_.was_released(report.machine)) return;
+    known = &fleet_.add(report.machine);
+    known->since = now;
+  }
+  auto& machine = *known;
+  if (std::pair(report.session, report.sequence) <= std::pair(machine.session, machine.sequence))
+    return;
+  if (machine.session != 0 && report.session > machine.session) assignments_.lose_all(machine, now);
+  if (report.session > machine.session) machine.in_doubt.clear();
+  const bool first = !machine.up();
+  machine.session = report.session;
+  machine.sequence = report.sequence;
+  machine.heard = now;
+  const bool moved =
+      machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot;
+  machine.endpoint = report.endpoint;
+  if (first || moved) {
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    catalog_.apply(machine);
+  }
+  if (first) {
+    machine.up_since = now;
+    orders_.want(machine);
+  }
+  if (!machine.registered && !machine.registering) registry_.save(machine);
+  if (report.token == token_ && !machine.confirmed) {
+    machine.confirmed = true;
+    recovery_.accounted(machine.id);
+    out_.want_placing();
+  }
+  if (report.notice && !machine.notice_ends) {
+    machine.notice_ends = now + to_duration(*report.notice);
+    for (auto& [key, assignment] : machine.tasks)
+      if (now + to_duration(remaining_of(assignment, now)) > *machine.notice_ends)
+        orders_.stop_saving(machine, key, assignment, *report.notice, now);
+    out_.want_placing();
+  }
+
+  machine.reported = report.tasks;
+  std::vector<Attempt> listed;  // an attempt's number belongs to one task only
+  for (const auto& entry : report.tasks) {
+    listed.push_back(entry.attempt);
+    absorb_task(machine, entry, now);
+  }
+  std::sort(listed.begin(), listed.end());
+  // What was seen and is listed no more is gone. What was never seen may still be started by a
+  // command on its way (docs/safety.md, "One copy of a task", 5).
+  std::vector<TaskKey> gone;
+  for (const auto& [key, assignment] : machine.tasks)
+    if (assignment.seen && !std::binary_search(listed.begin(), listed.end(), assignment.attempt))
+      gone.push_back(key);
+  for (const auto& key : gone) {
+    const bool abandoned = machine.tasks.at(key).abandoned;
+    assignments_.drop(machine, key, now);
+    if (!abandoned) assignments_.lost(key);
+    out_.want_placing();
+  }
+  recovery_.note_foreign(machine);
+}
+
+void Reports::absorb_task(Machine& machine, const TaskReport& entry, TimePoint now) {
+  const auto found = machine.tasks.find(entry.task);
+  if (found == machine.tasks.end() || found->second.attempt != entry.attempt)
+    return adopt(machine, entry, now);
+  auto& assignment = found->second;
+  assignment.seen = true;
+  if (entry.state == TaskState::exited) return absorb_exit(machine, entry, now);
+  assignment.state = entry.state;
+  if (entry.state == TaskState::running && !assignment.running_since) {
+    const auto found_job = jobs_.find(entry.task.job);
+    auto* job = found_job == jobs_.end() ? nullptr : &found_job->second;
+    assignments_.runs_now(assignment, job, now);
+    if (job != nullptr) fleet_.touch_image(machine, assignment.image, job->spec().image_gb, true);
+  }
+}
+
+void Reports::adopt(Machine& machine, const TaskReport& entry, TimePoint now) {
+  const auto found = jobs_.find(entry.task.job);
+  if (found == jobs_.end() || entry.task.index >= found->second.tasks.size()) return;
+  auto& job = found->second;
+  auto& task = job.tasks[entry.task.index];
+  if (entry.state == TaskState::exited) {
+    if (entry.cause == ExitCause::done && task.phase == Phase::waiting && !job.service()) {
+      if (job.gang()) return gangs_.done(job);
+      jobs_.task_done(job, entry.task.index);
+      jobs_.progress_changed(job, entry.task.index);
+    }
+    return;
+  }
+  if (task.phase != Phase::waiting) return;  // a second copy: commands_for stops it
+  Assignment assignment;
+  assignment.attempt = entry.attempt;
+  assignment.resources = job.spec().per_task;
+  assignment.team = job.spec().team;
+  assignment.job_class = job.spec().job_class;
+  assignment.image = job.spec().image;
+  assignment.shape = job.spec().shape;
+  assignment.estimate = outlooks_.estimate_left(job, entry.task.index);
+  assignment.checkpoint_every = job.spec().checkpoint_every;
+  assignment.save_time = job.spec().save_time;
+  assignment.placed = now;
+  assignment.state = entry.state;
+  assignment.seen = true;
+  if (entry.state == TaskState::running) {
+    assignments_.runs_now(assignment, &job, now);
+    fleet_.touch_image(machine, assignment.image, job.spec().image_gb, true);
+  }
+  fleet_.assign(machine, entry.task, std::move(assignment));
+  job.set_assigned(entry.task.index, machine.id);
+  // Two attempts of one gang: both end, then it starts anew.
+  if (job.gang() && job.attempt != 0 && job.attempt != entry.attempt) {
+    jobs_.note_broken(entry.task.job);
+    job.attempt = std::max(job.attempt, entry.attempt);
+  } else if (job.gang()) {
+    job.attempt = entry.attempt;
+    if (!recovery_.recovering()) jobs_.note_broken(entry.task.job);  // it was held to be gone
+  }
+}
+
+void Reports::absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now) {
+  const auto assignment = machine.tasks.at(entry.task);
+  assignments_.drop(machine, entry.task, now, entry.stored);
+  out_.want_placing();
+  const auto found = jobs_.find(entry.task.job);
+  if (found == jobs_.end()) return;
+  auto& job = found->second;
+  const auto index = entry.task.index;
+  if (entry.cause == ExitCause::done && job.service()) {
+    // A replica runs until its job is cancelled; one that ends by itself is replaced, with a pause.
+    job.set_waiting(index);
+    job.backoff_until = std::max(job.backoff_until, now + std::chrono::seconds(1));
+    return;
+  }
+  if (entry.cause == ExitCause::done) {
+    if (assignment.running_since && !assignment.stop)
+      estimator_.finished(job.spec(), assignment.saved + Seconds(now - *assignment.running_since));
+    fleet_.touch_image(machine, assignment.image, job.spec().image_gb, true);
+    machine.errors = 0;
+    machine.error_jobs.clear();
+    if (job.gang()) return gangs_.done(job);
+    jobs_.task_done(job, index);
+    jobs_.progress_changed(job, index);
+    return;
+  }
+  job.set_waiting(index);
+  if (job.gang()) jobs_.note_broken(entry.task.job);
+  if (entry.cause == ExitCause::error) task_failed(machine, job, now);
+  if (entry.cause == ExitCause::unknown || entry.cause == ExitCause::no_room ||
+      entry.cause == ExitCause::busy)
+    job.backoff_until = std::max(job.backoff_until, now + std::chrono::seconds(1));
+}
+
+void Reports::task_failed(Machine& machine, Job& job, TimePoint now) {
+  ++job.failures;
+  job.failed_on.insert(machine.id);
+  // A job that fails on machine after machine was submitted with a mistake: it must neither be
+  // tried without pause nor bring healthy machines into quarantine.
+  if (job.done == 0 && job.failed_on.size() >= 3) {
+    const int doublings = std::min(static_cast<int>(job.failed_on.size()) - 2, 6);
+    job.backoff_until = now + std::chrono::seconds(1L << doublings);
+    return;
+  }
+  ++machine.errors;
+  machine.error_jobs.insert(job.spec().id);
+  const bool several = machine.errors >= settings_.tuning.quarantine_errors;
+  if (several && (machine.error_jobs.size() >= 2 || job.done > 0)) machine.quarantined = true;
+}
+
+void Reports::orders_answered(const MachineId& id, const WorkerReport* answer, TimePoint now) {
+  auto* machine = fleet_.find(id);
+  if (machine == nullptr) return;
+  machine->orders_in_flight = false;
+  if (answer == nullptr) {
+    machine->in_doubt.insert(machine->starts_in_flight.begin(), machine->starts_in_flight.end());
+    machine->next_orders = now + kOrdersRetry;
+    orders_.want(*machine);
+    return;
+  }
+  const bool was_confirmed = machine->confirmed;
+  report(*answer, now);
+  machine = fleet_.find(id);
+  if (machine == nullptr) return;
+  if (!machine->confirmed) {
+    machine->next_orders = now + milliseconds(50);
+    orders_.want(*machine);
+    return;
+  }
+  const auto left = orders_.commands_for(*machine, true);
+  const bool urgent = std::any_of(left.begin(), left.end(),
+                                  [](const Command& c) { return c.verb != Verb::forget; });
+  if (urgent) {
+    orders_.want(*machine);
+    machine->next_orders = was_confirmed ? now + milliseconds(500) : now;
+  }
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/reports.hpp
@@ -0,0 +1,55 @@
+// What workers report, and what that makes of tasks and machines (PROTOCOL, "POST /agent/beat",
+// "Delayed messages"; DESIGN: rebuild from reports). Owns nothing: joins the parts it changes.
+#pragma once
+
+#include "core/assignments.hpp"
+#include "core/gangs.hpp"
+#include "core/registry.hpp"
+
+namespace violetpulley::core {
+
+class Reports {
+ public:
+  Reports(const ControllerSettings& settings, Outbox& out, const Catalog& catalog, Fleet& fleet,
+          Jobs& jobs, Estimator& estimator, const Outlooks& outlooks, Recovery& recovery,
+          Registry& registry, Orders& orders, Assignments& assignments, Gangs& gangs, Token token)
+      : settings_(settings),
+        out_(out),
+        catalog_(catalog),
+        fleet_(fleet),
+        jobs_(jobs),
+        estimator_(estimator),
+        outlooks_(outlooks),
+        recovery_(recovery),
+        registry_(registry),
+        orders_(orders),
+        assignments_(assignments),
+        gangs_(gangs),
+        token_(token) {}
+
+  void report(const WorkerReport& report, TimePoint now);
+  // `answer`: null if none came.
+  void orders_answered(const MachineId& id, const WorkerReport* answer, TimePoint now);
+
+ private:
+  void absorb_task(Machine& machine, const TaskReport& entry, TimePoint now);
+  void absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now);
+  void adopt(Machine& machine, const TaskReport& entry, TimePoint now);
+  void task_failed(Machine& machine, Job& job, TimePoint now);
+
+  const ControllerSettings& settings_;
+  Outbox& out_;
+  const Catalog& catalog_;
+  Fleet& fleet_;
+  Jobs& jobs_;
+  Estimator& estimator_;
+  const Outlooks& outlooks_;
+  Recovery& recovery_;
+  Registry& registry_;
+  Orders& orders_;
+  Assignments& assignments_;
+  Gangs& gangs_;
+  Token token_;
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/settings.hpp
@@ -0,0 +1,63 @@
+// What the core is told about its deployment: the platform's settings, the operators' aims, and
+// what a takeover reads from the state service.
+#pragma once
+
+#include "core/actions.hpp"
+
+namespace violetpulley::core {
+
+inline constexpr double kRentalsShare = 0.65;  // of the cloud calls
+inline constexpr double kReleasesShare = 0.5;  // both rarely want all of theirs at once
+
+// The operators' aim for a class of jobs: done within this time after submission.
+struct FinishAim {
+  std::string job_class;
+  Seconds within{0};
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.job_class, s.within);
+  }
+};
+
+// Done within this many times the job's deadline.
+struct LateAim {
+  std::string job_class;
+  double times = 1;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.job_class, s.times);
+  }
+};
+
+struct ControllerSettings {
+  std::vector<Team> teams;
+  WorkerTimes workers;
+  Tuning tuning;
+  double cloud_calls_per_s = 1;  // for rentals and returns
+  Seconds list_lag{10};
+  std::vector<FinishAim> aims;
+  std::vector<LateAim> late_aims;
+  WallTime wall_at_start{};  // the time of day that belongs to the start's steady time
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.teams, s.workers, s.tuning, s.cloud_calls_per_s, s.list_lag, s.aims, s.late_aims,
+      s.wall_at_start);
+  }
+};
+
+// What a takeover reads from the store.
+struct Inheritance {
+  std::vector<MachineRecord> machines;
+  std::vector<JobRecord> jobs;
+  std::vector<ProgressRecord> progress;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.machines, s.jobs, s.progress);
+  }
+};
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/starts.cpp
@@ -0,0 +1,84 @@
+#include "core/starts.hpp"
+
+#include "core/limits.hpp"
+#include "core/packer.hpp"
+#include "core/scaler.hpp"
+
+namespace violetpulley::core {
+
+bool zone_allowed(const JobSpec& spec, const ZoneUse& use, const std::string& zone) {
+  const auto found = use.find(zone);
+  const TaskIndex here = found == use.end() ? 0 : found->second;
+  if (spec.same_zone) return use.empty() || (use.size() == 1 && here > 0);
+  return !spec.spread || here + 1 <= most_in_zone(spec);
+}
+
+Seconds fetch_time(const JobSpec& spec, double gb_per_s) {
+  return gb_per_s > 0 ? Seconds(spec.image_gb / gb_per_s) : Seconds(0);
+}
+
+bool Starts::placeable(const Machine& machine, TimePoint now) const {
+  if (!machine.up() || !machine.confirmed || !machine.registered || machine.releasing) return false;
+  if (machine.clearing || machine.quarantined || machine.notice_ends) return false;
+  return machine.heard && now - *machine.heard < to_duration(settings_.tuning.silent_after);
+}
+
+bool Starts::within_limit(const JobSpec& spec, std::size_t tasks) const {
+  const auto found = catalog_.teams().find(spec.team);
+  if (found == catalog_.teams().end()) return false;
+  const auto more = spec.per_task * static_cast<double>(tasks);
+  return (fleet_.team_use(spec.team) + recovery_.uncertain() + more)
+      .fits_in(limit_of(found->second));
+}
+
+std::optional<Resources> Starts::room_of(const std::string& team) const {
+  const auto found = catalog_.teams().find(team);
+  if (found == catalog_.teams().end()) return std::nullopt;
+  return limit_of(found->second) - fleet_.team_use(team) - recovery_.uncertain();
+}
+
+// Where every task of the job possibly is, for same_zone and spread; empty for other jobs.
+ZoneUse Starts::zone_use(const Job& job) const {
+  ZoneUse use;
+  if (!job.spec().same_zone && !job.spec().spread) return use;
+  for (const auto& task : job.tasks) {
+    if (task.phase != Phase::assigned) continue;
+    if (const auto* machine = fleet_.find(task.machine)) ++use[machine->zone];
+  }
+  return use;
+}
+
+// The one place where starts are made: limits and places are checked here, whatever chose them.
+bool Starts::start(Job& job, TaskIndex index, Machine& machine, Attempt attempt, TimePoint now) {
+  const auto& spec = job.spec();
+  const auto& task = job.tasks[index];
+  if (task.phase != Phase::waiting || recovery_.unaccounted(job)) return false;
+  if (!machine.reserved_for.empty() && machine.reserved_for != spec.id) return false;
+  if (!placeable(machine, now) || !spec.per_task.fits_in(machine.free())) return false;
+  if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) return false;
+  if (!zone_allowed(spec, zone_use(job), machine.zone) || !within_limit(spec)) return false;
+  const TaskKey key{spec.id, index};
+  if (machine.tasks.contains(key)) return false;
+  Assignment assignment;
+  assignment.attempt = attempt;
+  assignment.resources = spec.per_task;
+  assignment.team = spec.team;
+  assignment.job_class = spec.job_class;
+  assignment.image = spec.image;
+  assignment.shape = spec.shape;
+  assignment.saved = job.tasks[job.gang() ? 0 : index].saved;
+  assignment.estimate = outlooks_.estimate_left(job, index);
+  assignment.checkpoint_every = spec.checkpoint_every;
+  assignment.save_time = spec.save_time;
+  assignment.placed = now;
+  if (image_rank(machine, spec.image) < 2)
+    assignment.fetch = fetch_time(spec, machine.fetch_gb_per_s);
+  fleet_.touch_image(machine, spec.image, spec.image_gb, false);
+  fleet_.assign(machine, key, std::move(assignment));
+  job.set_assigned(index, machine.id);
+  machine.idle_since.reset();
+  orders_.want(machine);
+  return true;
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/starts.hpp
@@ -0,0 +1,61 @@
+// The one place where starts are made: limits, types, zones and kinds are checked here, whatever
+// chose the machine (docs/safety.md, "Limits and places"; PROTOCOL, "Rules"). Owns the counter of
+// attempts.
+#pragma once
+
+#include "core/jobs.hpp"
+#include "core/orders.hpp"
+#include "core/outlooks.hpp"
+#include "core/recovery.hpp"
+
+namespace violetpulley::core {
+
+// How many tasks of a job a zone has.
+using ZoneUse = std::map<std::string, TaskIndex>;
+
+// Whether one more task may go to the zone, given where the others possibly are.
+bool zone_allowed(const JobSpec& spec, const ZoneUse& use, const std::string& zone);
+
+// How long a machine of that rate fetches the job's image.
+Seconds fetch_time(const JobSpec& spec, double gb_per_s);
+
+class Starts {
+ public:
+  Starts(const ControllerSettings& settings, const Catalog& catalog, Fleet& fleet, Orders& orders,
+         const Outlooks& outlooks, const Recovery& recovery, Token token)
+      : settings_(settings),
+        catalog_(catalog),
+        fleet_(fleet),
+        orders_(orders),
+        outlooks_(outlooks),
+        recovery_(recovery),
+        // Attempts come from the token and a counter, so no two leaders ever choose the same one.
+        next_attempt_((token << 24U) + 1) {}
+
+  Attempt next_attempt() { return next_attempt_++; }
+  bool start(Job& job, TaskIndex index, Machine& machine, Attempt attempt, TimePoint now);
+
+  bool placeable(const Machine& machine, TimePoint now) const;
+  bool within_limit(const JobSpec& spec) const { return within_limit(spec, 1); }
+  bool within_limit(const JobSpec& spec, std::size_t tasks) const;
+  // What a team may still use; unknown teams may use nothing.
+  std::optional<Resources> room_of(const std::string& team) const;
+  // Where every task of the job possibly is, for same_zone and spread; empty for other jobs.
+  ZoneUse zone_use(const Job& job) const;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.next_attempt_);
+  }
+
+ private:
+  const ControllerSettings& settings_;
+  const Catalog& catalog_;
+  Fleet& fleet_;
+  Orders& orders_;
+  const Outlooks& outlooks_;
+  const Recovery& recovery_;
+  Attempt next_attempt_;
+};
+
+}  // namespace violetpulley::core
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -26,6 +26,8 @@
   return std::chrono::duration_cast<Duration>(seconds);
 }
 
+// What is kept in saves and events names its fields in `fields`, in the order in which they are
+// written (src/history/pack.hpp): new ones go to the end, under a new version of the format.
 struct Resources {
   double cpus = 0;
   double gpus = 0;
@@ -55,6 +57,10 @@
     return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
            memory_gb <= room.memory_gb + kSlack;
   }
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.cpus, s.gpus, s.memory_gb);
+  }
 };
 
 enum class Shape { array, gang, service };
@@ -83,12 +89,22 @@
   Seconds checkpoint_every{0};
   Seconds save_time{0};
   std::optional<Seconds> deadline;  // from submission
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.id, s.job_class, s.team, s.shape, s.priority, s.tasks, s.per_task, s.image, s.image_gb,
+      s.types, s.zone, s.same_zone, s.spread, s.spot_allowed, s.estimate, s.checkpoint_every,
+      s.save_time, s.deadline);
+  }
 };
 
 struct JobRecord {
   JobSpec spec;
   WallTime submitted{};
   Revision revision = 0;  // of the transaction that accepted the job
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.spec, s.submitted, s.revision);
+  }
 };
 
 enum class FinalState { done, cancelled };
@@ -99,6 +115,10 @@
   double max_cpus = 0;         // 0: no limit
   double guaranteed_gpus = 0;
   double max_gpus = 0;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.name, s.guaranteed_cpus, s.max_cpus, s.guaranteed_gpus, s.max_gpus);
+  }
 };
 
 struct MachineType {
@@ -110,6 +130,10 @@
   double spot_price = 0;
   Seconds boot{0};
   std::vector<std::string> zones;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.name, s.capacity, s.cache_gb, s.fetch_gb_per_s, s.price, s.spot_price, s.boot, s.zones);
+  }
 };
 
 enum class TaskState { fetching, waiting, running, saving, exited };
@@ -119,6 +143,10 @@
   JobId job;
   TaskIndex index = 0;
   friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.job, s.index);
+  }
 };
 
 struct TaskReport {
@@ -127,6 +155,10 @@
   TaskState state = TaskState::fetching;
   ExitCause cause = ExitCause::none;
   bool stored = false;  // its progress was saved when it was stopped
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.task, s.attempt, s.state, s.cause, s.stored);
+  }
 };
 
 struct WorkerReport {
@@ -140,6 +172,11 @@
   Token token = 0;
   std::optional<Seconds> notice;
   std::vector<TaskReport> tasks;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.machine, s.endpoint, s.type, s.zone, s.spot, s.session, s.sequence, s.token, s.notice,
+      s.tasks);
+  }
 };
 
 enum class Verb { start, stop, forget };
@@ -149,6 +186,10 @@
   TaskKey task;
   Attempt attempt = 0;
   Seconds grace{0};
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.verb, s.task, s.attempt, s.grace);
+  }
 };
 
 // What the platform's settings file says about workers and the services around us.
@@ -158,6 +199,10 @@
   Seconds cancel{47};
   Seconds gang_wait{35};
   Seconds gang_peer{4};
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.report, s.lease, s.cancel, s.gang_wait, s.gang_peer);
+  }
 };
 
 // Starting values of the design's open constants; operators may change them in YAML.
@@ -177,6 +222,12 @@
   int quarantine_errors = 3;
   Seconds dear_patience{40};
   Seconds dear_idle_wait{10};
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.bin_unit, s.round, s.quick_round, s.clearing_wait, s.clearing_use, s.idle_wait,
+      s.boot_late_factor, s.refused_rest, s.silent_after, s.lost_after, s.lost_after_takeover,
+      s.bound_tasks_may_move, s.quarantine_errors, s.dear_patience, s.dear_idle_wait);
+  }
 };
 
 }  // namespace violetpulley::core
--- /dev/null
+++ b/src/history/digest.hpp
@@ -0,0 +1,41 @@
+// Running digest of values: equal sequences of states or actions give equal digests, on every
+// machine of one byte order.
+#pragma once
+
+#include <xxhash.h>
+
+#include <cstdio>
+#include <memory>
+
+#include "history/pack.hpp"
+
+namespace violetpulley::history {
+
+class Digest {
+ public:
+  Digest() : state_(XXH3_createState(), &XXH3_freeState) { XXH3_64bits_reset(state_.get()); }
+
+  template <class T>
+  void add(const T& value) {
+    sink_.clear();
+    Out out(sink_);
+    write(out, value);
+    add_bytes({sink_.data(), sink_.size()});
+  }
+  void add_bytes(std::string_view bytes) {
+    XXH3_64bits_update(state_.get(), bytes.data(), bytes.size());
+  }
+  std::uint64_t value() const { return XXH3_64bits_digest(state_.get()); }
+
+ private:
+  std::unique_ptr<XXH3_state_t, XXH_errorcode (*)(XXH3_state_t*)> state_;
+  Sink sink_;
+};
+
+inline std::string hex(std::uint64_t value) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
+
+}  // namespace violetpulley::history
--- /dev/null
+++ b/src/history/pack.hpp
@@ -0,0 +1,221 @@
+// Values of the core as msgpack, and back. A struct is an array of what its `fields` names, in that
+// order; a map is an array of pairs, sorted by key, so that equal states give equal bytes (digests
+// rely on it). Times are counted in nanoseconds, durations of `Seconds` are doubles to the last
+// bit.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <map>
+#include <msgpack.hpp>
+#include <optional>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <type_traits>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace violetpulley::history {
+
+// What was read is not what this version writes.
+struct BadValue : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+using Sink = msgpack::sbuffer;
+using Out = msgpack::packer<Sink>;
+
+namespace detail {
+
+template <class T>
+inline constexpr bool is_duration = false;
+template <class R, class P>
+inline constexpr bool is_duration<std::chrono::duration<R, P>> = true;
+
+template <class T>
+inline constexpr bool is_time = false;
+template <class C, class D>
+inline constexpr bool is_time<std::chrono::time_point<C, D>> = true;
+
+template <class T>
+inline constexpr bool is_optional = false;
+template <class T>
+inline constexpr bool is_optional<std::optional<T>> = true;
+
+template <class T>
+inline constexpr bool is_pair = false;
+template <class A, class B>
+inline constexpr bool is_pair<std::pair<A, B>> = true;
+
+template <class T>
+inline constexpr bool is_variant = false;
+template <class... T>
+inline constexpr bool is_variant<std::variant<T...>> = true;
+
+template <class T>
+inline constexpr bool is_unordered = false;
+template <class K, class V>
+inline constexpr bool is_unordered<std::unordered_map<K, V>> = true;
+
+struct Nothing {
+  template <class... T>
+  void operator()(T&&...) const {}
+};
+template <class T>
+concept Struct = requires(T& value) {
+  T::fields(value, Nothing{});
+};
+
+template <class T>
+concept Container = requires(T& value) {
+  typename T::value_type;
+  value.begin();
+  value.size();
+}
+&&!std::is_same_v<T, std::string>;
+
+}  // namespace detail
+
+template <class T>
+void write(Out& out, const T& value) {
+  if constexpr (std::is_enum_v<T>) {
+    out.pack(static_cast<std::int64_t>(value));
+  } else if constexpr (detail::is_duration<T>) {
+    out.pack(value.count());
+  } else if constexpr (detail::is_time<T>) {
+    out.pack(static_cast<std::int64_t>(value.time_since_epoch().count()));
+  } else if constexpr (detail::is_optional<T>) {
+    if (value)
+      write(out, *value);
+    else
+      out.pack_nil();
+  } else if constexpr (detail::is_pair<T>) {
+    out.pack_array(2);
+    write(out, value.first);
+    write(out, value.second);
+  } else if constexpr (detail::is_variant<T>) {
+    out.pack_array(2);
+    out.pack(static_cast<std::uint64_t>(value.index()));
+    std::visit([&](const auto& held) { write(out, held); }, value);
+  } else if constexpr (detail::is_unordered<T>) {
+    std::vector<const typename T::value_type*> sorted;
+    for (const auto& entry : value) sorted.push_back(&entry);
+    std::sort(sorted.begin(), sorted.end(),
+              [](const auto* a, const auto* b) { return a->first < b->first; });
+    out.pack_array(static_cast<std::uint32_t>(sorted.size()));
+    for (const auto* entry : sorted) write(out, *entry);
+  } else if constexpr (detail::Container<T>) {
+    out.pack_array(static_cast<std::uint32_t>(value.size()));
+    for (const auto& entry : value) write(out, entry);
+  } else if constexpr (detail::Struct<T>) {
+    T::fields(value, [&](const auto&... field) {
+      out.pack_array(static_cast<std::uint32_t>(sizeof...(field)));
+      (write(out, field), ...);
+    });
+  } else {
+    out.pack(value);
+  }
+}
+
+namespace detail {
+
+inline const msgpack::object_array& array_of(const msgpack::object& from, std::size_t least) {
+  if (from.type != msgpack::type::ARRAY || from.via.array.size < least)
+    throw BadValue("an array of " + std::to_string(least) + " values was expected");
+  return from.via.array;
+}
+
+}  // namespace detail
+
+template <class T>
+void read(const msgpack::object& from, T& value) {
+  if constexpr (std::is_enum_v<T>) {
+    std::int64_t number = 0;
+    read(from, number);
+    value = static_cast<T>(number);
+  } else if constexpr (detail::is_duration<T>) {
+    typename T::rep count{};
+    read(from, count);
+    value = T(count);
+  } else if constexpr (detail::is_time<T>) {
+    typename T::duration since{};
+    read(from, since);
+    value = T(since);
+  } else if constexpr (detail::is_optional<T>) {
+    if (from.is_nil()) {
+      value.reset();
+    } else {
+      value.emplace();
+      read(from, *value);
+    }
+  } else if constexpr (detail::is_pair<T>) {
+    const auto& parts = detail::array_of(from, 2);
+    read(parts.ptr[0], const_cast<std::remove_const_t<typename T::first_type>&>(value.first));
+    read(parts.ptr[1], value.second);
+  } else if constexpr (detail::is_variant<T>) {
+    const auto& parts = detail::array_of(from, 2);
+    std::uint64_t index = 0;
+    read(parts.ptr[0], index);
+    const auto choose = [&]<std::size_t... I>(std::index_sequence<I...>) {
+      return ((index == I ? (read(parts.ptr[1], value.template emplace<I>()), true) : false) ||
+              ...);
+    };
+    if (!choose(std::make_index_sequence<std::variant_size_v<T>>{}))
+      throw BadValue("kind " + std::to_string(index) + " is unknown");
+  } else if constexpr (detail::Container<T>) {
+    const auto& parts = detail::array_of(from, 0);
+    value.clear();
+    for (std::uint32_t i = 0; i < parts.size; ++i) {
+      if constexpr (requires { typename T::mapped_type; }) {
+        const auto& entry = detail::array_of(parts.ptr[i], 2);
+        typename T::key_type key{};
+        read(entry.ptr[0], key);
+        read(entry.ptr[1], value[std::move(key)]);
+      } else if constexpr (requires { typename T::key_type; }) {
+        typename T::key_type key{};
+        read(parts.ptr[i], key);
+        value.insert(value.end(), std::move(key));
+      } else {
+        read(parts.ptr[i], value.emplace_back());
+      }
+    }
+  } else if constexpr (detail::Struct<T>) {
+    T::fields(value, [&](auto&... field) {
+      const auto& parts = detail::array_of(from, sizeof...(field));
+      std::size_t at = 0;
+      (read(parts.ptr[at++], field), ...);
+    });
+  } else {
+    try {
+      from.convert(value);
+    } catch (const msgpack::type_error&) {
+      throw BadValue("a value of another type was expected");
+    }
+  }
+}
+
+template <class T>
+std::string packed(const T& value) {
+  Sink sink;
+  Out out(sink);
+  write(out, value);
+  return {sink.data(), sink.size()};
+}
+
+template <class T>
+T unpacked(std::string_view bytes) {
+  T value{};
+  try {
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    read(handle.get(), value);
+  } catch (const msgpack::unpack_error& problem) {
+    throw BadValue(std::string("not msgpack: ") + problem.what());
+  }
+  return value;
+}
+
+}  // namespace violetpulley::history
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -8,6 +8,7 @@
 
 #include "core/controller.hpp"
 #include "core/leadership.hpp"
+#include "history/digest.hpp"
 
 namespace violetpulley::core {
 namespace {
@@ -109,6 +110,8 @@
   std::size_t takeovers() const { return takeovers_; }
   std::size_t gang_starts() const { return gang_starts_; }
   std::size_t saves() const { return saves_; }
+  // Of all actions of all leaders: equal before and after a change that is to change no decision.
+  std::uint64_t actions_digest() const { return actions_digest_.value(); }
   std::string state() const {
     std::string text = leader_ ? leader_->controller->summary() : "no leader";
     for (const auto& [id, job] : jobs_) {
@@ -187,6 +190,7 @@
     if (!leader.cut) leader.leadership.proved(now_);
     leader.controller->tick(now_, leader.leadership.may_serve(now_));
     auto actions = leader.controller->take_actions();
+    for (const auto& action : actions) actions_digest_.add(action);
     const auto token = leader.token;
     for (auto& action : actions) std::visit([&](auto& a) { carry_out(leader, token, a); }, action);
     if (resigning_ == token) {
@@ -479,8 +483,7 @@
       const auto leave = [&](const Member& member, ExitCause cause) {
         if (now_ < member.worker->hangs_until) return;
         exit(*member.task, cause);
-        member.worker->next_report =
-            std::min(member.worker->next_report, now_ + milliseconds(300));
+        member.worker->next_report = std::min(member.worker->next_report, now_ + milliseconds(300));
       };
       if (!run.running && count(TaskState::waiting) == spec.tasks) {
         run.running = true;
@@ -730,9 +733,9 @@
   std::map<TaskKey, Seconds> saved_;
   std::size_t gang_starts_ = 0;
   std::size_t saves_ = 0;
+  history::Digest actions_digest_;
 };
 
-
 class Simulation : public ::testing::TestWithParam<int> {};
 
 TEST_P(Simulation, KeepsEveryRuleAndFinishes) {
@@ -749,6 +752,8 @@
   EXPECT_GT(world.finished_jobs(), 20U);
   EXPECT_GT(world.gang_starts(), 3U);
   EXPECT_EQ(world.open_jobs(), 0U) << "accepted jobs must run: " << world.state();
+  std::cout << "digest of actions, seed " << seed << ": " << history::hex(world.actions_digest())
+            << "\n";
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Simulation, ::testing::Range(1, 25));
