--- /dev/null
+++ b/src/commands/history.cpp
@@ -0,0 +1,228 @@
+#include "commands/history.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+#include <memory>
+
+#include "commands/exit_codes.hpp"
+#include "config/history_settings.hpp"
+#include "history/describe.hpp"
+
+namespace violetpulley::commands {
+
+namespace {
+
+using Json = nlohmann::json;
+
+struct Options {
+  std::string directory;
+  std::string key_file;
+  std::string new_key_file;
+  std::string job;
+  std::string machine;
+  double from_s = 0;
+  double to_s = 1e18;
+  std::uint64_t until = 0;
+  bool until_given = false;
+  bool from_start = false;
+  bool json = false;
+};
+
+std::optional<history::Key> key_of(const std::string& file, const std::string& option) {
+  if (file.empty()) return std::nullopt;
+  return config::load_key(file, option);
+}
+
+// What was found wrong, in the form that was asked for.
+int damaged(const Options& options, const history::Damaged& problem) {
+  if (options.json)
+    std::cout << Json{{"ok", false},
+                      {"file", problem.file},
+                      {"byte", problem.offset},
+                      {"cause", problem.cause}}
+                     .dump()
+              << "\n";
+  else
+    std::cerr << "violetpulley: damaged: " << problem.what() << "\n";
+  return kCheckFailed;
+}
+
+template <class Work>
+int guarded(const Options& options, const Work& work) {
+  try {
+    return work();
+  } catch (const history::Damaged& problem) {
+    return damaged(options, problem);
+  } catch (const config::SettingsError& problem) {
+    std::cerr << "violetpulley: " << problem.what() << "\n";
+  } catch (const history::FileError& problem) {
+    std::cerr << "violetpulley: " << problem.what() << "\n";
+  }
+  return kBadSettings;
+}
+
+history::Contents checked(history::Reader& reader) {
+  auto contents = reader.check();
+  if (const auto* last = contents.last(); last != nullptr && last->torn_bytes > 0)
+    std::cerr << "violetpulley: the last " << last->torn_bytes << " bytes of " << last->name
+              << " are torn and not used: " << last->torn_cause << "\n";
+  return contents;
+}
+
+int verify(const Options& options) {
+  history::Directory files(options.directory, false);
+  history::Reader reader(files, key_of(options.key_file, "--key"));
+  const auto contents = checked(reader);
+  if (options.json) {
+    Json segments = Json::array();
+    for (const auto& segment : contents.segments)
+      segments.push_back({{"name", segment.name},
+                          {"first", segment.head.first_event},
+                          {"records", segment.records},
+                          {"bytes", segment.bytes},
+                          {"torn_bytes", segment.torn_bytes}});
+    Json saves = Json::array();
+    for (const auto& save : contents.saves)
+      saves.push_back({{"name", save.name},
+                       {"records", save.head.events},
+                       {"bytes", save.bytes},
+                       {"state", history::hex(save.state_digest)}});
+    std::cout << Json{{"ok", true},
+                      {"history", contents.history},
+                      {"records", contents.events()},
+                      {"segments", std::move(segments)},
+                      {"saves", std::move(saves)}}
+                     .dump()
+              << "\n";
+    return kFine;
+  }
+  for (const auto& segment : contents.segments)
+    std::cout << segment.name << "  records " << segment.head.first_event << " to "
+              << segment.head.first_event + segment.records << ", " << segment.bytes << " bytes\n";
+  for (const auto& save : contents.saves)
+    std::cout << save.name << "  covers records up to " << save.head.events << ", state "
+              << history::hex(save.state_digest) << ", " << save.bytes << " bytes\n";
+  std::cout << "good: " << contents.events() << " records\n";
+  return kFine;
+}
+
+int show(const Options& options) {
+  history::Directory files(options.directory, false);
+  history::Reader reader(files, key_of(options.key_file, "--key"));
+  const auto contents = checked(reader);
+  std::optional<core::TimePoint> begun;
+  const auto wanted = [](const auto& names, const std::string& name) {
+    return name.empty() || std::find(names.begin(), names.end(), name) != names.end();
+  };
+  if (!options.json)
+    std::cout << std::left << std::setw(10) << "record" << std::setw(12) << "time s"
+              << std::setw(10) << "token" << std::setw(18) << "kind"
+              << "what\n";
+  for (const auto& segment : contents.segments)
+    reader.read_segment(segment.name, [&](const history::Record& record, std::uint64_t number) {
+      if (!begun) begun = record.at;
+      const auto time = core::Seconds(record.at - *begun).count();
+      const auto subjects = history::subjects_of(record);
+      if (time < options.from_s || time > options.to_s || !wanted(subjects.jobs, options.job) ||
+          !wanted(subjects.machines, options.machine))
+        return true;
+      if (options.json)
+        std::cout << history::to_json(record, number).dump() << "\n";
+      else
+        std::cout << std::left << std::setw(10) << number << std::setw(12) << std::fixed
+                  << std::setprecision(3) << time << std::setw(10) << record.token << std::setw(18)
+                  << history::kind_of(record) << history::describe(record) << "\n";
+      return true;
+    });
+  return kFine;
+}
+
+int replay(const Options& options) {
+  history::Directory files(options.directory, false);
+  history::Reader reader(files, key_of(options.key_file, "--key"));
+  const auto contents = checked(reader);
+  history::Replay replay;
+  reader.replay(contents, replay, options.from_start,
+                options.until_given ? std::optional(options.until) : std::nullopt);
+  const auto& difference = replay.difference();
+  const auto state = history::hex(replay.state_digest());
+  const auto actions = history::hex(replay.actions_digest());
+  if (options.json) {
+    Json out{
+        {"ok", !difference}, {"records", replay.events()}, {"state", state}, {"actions", actions}};
+    if (difference)
+      out["difference"] = {{"record", difference->record},
+                           {"recorded", history::hex(difference->recorded)},
+                           {"replayed", history::hex(difference->replayed)}};
+    std::cout << out.dump() << "\n";
+  } else {
+    std::cout << "records " << replay.events() << "\nstate   " << state << "\nactions " << actions
+              << "\n";
+    if (difference)
+      std::cout << "differs first at record " << difference->record << ": recorded "
+                << history::hex(difference->recorded) << ", replayed "
+                << history::hex(difference->replayed) << "\n";
+  }
+  return difference ? kCheckFailed : kFine;
+}
+
+// Everything into one save, and nothing of before; with another key, the new files are signed by
+// it.
+int compact(const Options& options) {
+  history::Directory files(options.directory, true);
+  const auto key = key_of(options.key_file, "--key");
+  const auto new_key =
+      options.new_key_file.empty() ? key : key_of(options.new_key_file, "--new-key");
+  history::Reader reader(files, key);
+  const auto contents = checked(reader);
+  history::Replay replay;
+  reader.replay(contents, replay);
+  if (replay.controller() == nullptr) {
+    std::cerr << "violetpulley: the history is empty, there is nothing to compact\n";
+    return kCheckFailed;
+  }
+  const auto events = contents.events();
+  history::EventLog log(files, new_key, {}, contents, contents.history, replay.wall_now());
+  log.begin_save(*replay.controller(), replay.origin(), replay.taken_over_at(), replay.now(),
+                 replay.wall_now());
+  while (log.saving()) log.continue_save();
+  log.prune(1);
+  std::cout << "compacted: " << events << " records are in one save, state "
+            << history::hex(replay.state_digest()) << "\n";
+  return kFine;
+}
+
+}  // namespace
+
+void add_history(CLI::App& app, int& result) {
+  auto* command = app.add_subcommand("history", "read a history that a controller wrote");
+  command->require_subcommand(1);
+  const auto options = std::make_shared<Options>();
+  const auto add = [&](const std::string& name, const std::string& about,
+                       int (*run)(const Options&)) {
+    auto* sub = command->add_subcommand(name, about);
+    sub->add_option("directory", options->directory, "the history's directory")->required();
+    sub->add_option("--key", options->key_file, "the key file that its MACs are checked with");
+    sub->callback(
+        [options, &result, run] { result = guarded(*options, [&] { return run(*options); }); });
+    return sub;
+  };
+  auto* shown = add("show", "the records as a table", &show);
+  shown->add_option("--job", options->job, "only records about this job");
+  shown->add_option("--machine", options->machine, "only records about this machine");
+  shown->add_option("--from-s", options->from_s, "seconds after the first record, from");
+  shown->add_option("--to-s", options->to_s, "seconds after the first record, to");
+  auto* verified = add("verify", "check all; exit code 1 with the first damage", &verify);
+  auto* replayed = add("replay", "run the core over the events and compare", &replay);
+  replayed->add_option("--until", options->until, "stop before the record of this number")
+      ->each([options](const std::string&) { options->until_given = true; });
+  replayed->add_flag("--from-start", options->from_start,
+                     "use no save, as far as the events go back");
+  auto* compacted = add("compact", "put everything into one save", &compact);
+  compacted->add_option("--new-key", options->new_key_file, "sign the new files with this key");
+  for (auto* sub : {shown, verified, replayed})
+    sub->add_flag("--json", options->json, "JSON instead of a table");
+}
+
+}  // namespace violetpulley::commands
--- /dev/null
+++ b/src/config/history_settings.hpp
@@ -0,0 +1,28 @@
+// The operators' settings of the history (deploy/history.yaml, docs/history.md).
+#pragma once
+
+#include <filesystem>
+#include <optional>
+
+#include "config/settings.hpp"
+#include "history/event_log.hpp"
+
+namespace violetpulley::config {
+
+enum class HistoryHome { off, directory, state_service };
+
+struct HistorySettings {
+  HistoryHome home = HistoryHome::off;
+  std::string directory;
+  std::optional<history::Key> key;
+  history::LogSettings log;
+  core::Seconds most_age{3600};  // older beliefs are not gone by
+};
+
+// Throws SettingsError with the field at fault. `key_file` is read and checked here.
+HistorySettings load_history_settings(const std::filesystem::path& path);
+HistorySettings parse_history_settings(const std::string& yaml);
+// Reads a key; throws SettingsError that names `field`.
+history::Key load_key(const std::filesystem::path& path, const std::string& field);
+
+}  // namespace violetpulley::config
--- /dev/null
+++ b/src/config/yaml_fields.hpp
@@ -0,0 +1,73 @@
+// Fields of the operators' YAML files, checked: every complaint names the file's line and the
+// field.
+#pragma once
+
+#include <yaml-cpp/yaml.h>
+
+#include <cmath>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "config/settings.hpp"
+
+namespace violetpulley::config {
+
+struct Range {
+  double least;
+  double most;
+};
+
+using FieldSetter = std::function<void(const YAML::Node&, const std::string&)>;
+using FieldSetters = std::map<std::string, FieldSetter>;
+
+inline std::string line_of(const YAML::Node& node) {
+  return node.Mark().line < 0 ? "" : " (line " + std::to_string(node.Mark().line + 1) + ")";
+}
+
+inline double number(const YAML::Node& node, const std::string& name, Range range) {
+  double value = 0;
+  try {
+    value = node.as<double>();
+  } catch (const YAML::Exception&) {
+    throw SettingsError(name + ": must be a number" + line_of(node));
+  }
+  if (!std::isfinite(value) || value < range.least || value > range.most)
+    throw SettingsError(name + ": must lie between " + std::to_string(range.least) + " and " +
+                        std::to_string(range.most) + line_of(node));
+  return value;
+}
+
+inline std::string text(const YAML::Node& node, const std::string& name) {
+  if (!node.IsScalar() || node.Scalar().empty())
+    throw SettingsError(name + ": must be a text" + line_of(node));
+  return node.Scalar();
+}
+
+inline FieldSetter seconds_field(core::Seconds& field, Range range) {
+  return [&field, range](const YAML::Node& node, const std::string& name) {
+    field = core::Seconds(number(node, name, range));
+  };
+}
+
+// Reads a map whose names are all known; `what` names the file in complaints.
+inline void read_fields(const std::string& yaml, const std::string& what,
+                        const FieldSetters& setters) {
+  YAML::Node root;
+  try {
+    root = YAML::Load(yaml);
+  } catch (const YAML::Exception& problem) {
+    throw SettingsError(what + ": " + problem.what());
+  }
+  if (root.IsNull()) return;
+  if (!root.IsMap()) throw SettingsError(what + ": must be a map");
+  for (const auto& entry : root) {
+    const auto name = entry.first.as<std::string>();
+    const auto setter = setters.find(name);
+    if (setter == setters.end())
+      throw SettingsError(name + ": is not a known setting" + line_of(entry.first));
+    setter->second(entry.second, name);
+  }
+}
+
+}  // namespace violetpulley::config
--- a/src/core/catalog.hpp
+++ b/src/core/catalog.hpp
@@ -10,19 +10,6 @@
 
 namespace violetpulley::core {
 
-// What machines differ in when they are rented.
-struct OptionKey {
-  std::string type;
-  std::string zone;
-  bool spot = false;
-  friend auto operator<=>(const OptionKey&, const OptionKey&) = default;
-
-  template <class S, class F>
-  static void fields(S& s, F&& f) {
-    f(s.type, s.zone, s.spot);
-  }
-};
-
 class Catalog {
  public:
   explicit Catalog(const ControllerSettings& settings) {
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -1,9 +1,14 @@
 #include "core/controller.hpp"
 
+#include <algorithm>
 #include <sstream>
 
 namespace violetpulley::core {
 
+namespace {
+constexpr Seconds kLongestPause{64};  // as task failures give it
+}  // namespace
+
 Controller::Controller(ControllerSettings settings, Token token, TimePoint now,
                        TimePoint older_leases_end, const Inheritance& inheritance)
     : settings_(std::move(settings)),
@@ -49,6 +54,7 @@
     orders_.want(machine);
     recovery_.expect(machine);
   }
+  believe(inheritance.beliefs, now);
   recovery_.check(now);
 }
 
@@ -123,6 +129,68 @@
   orders_.send(now);
 }
 
+Beliefs Controller::beliefs(TimePoint now, WallTime wall) const {
+  Beliefs out;
+  out.as_of = wall;
+  out.estimates = estimator_;
+  const auto left = [now](TimePoint until) { return std::max(Seconds(0), Seconds(until - now)); };
+  for (const auto& [id, job] : jobs_) {
+    JobBelief belief;
+    belief.id = id;
+    belief.waited = now - job.opened;
+    for (TaskIndex i = 0; i < job.tasks.size(); ++i)
+      if (job.tasks[i].saved > Seconds(0) && job.tasks[i].phase != Phase::done)
+        belief.saved.emplace_back(i, job.tasks[i].saved);
+    belief.failed_on.assign(job.failed_on.begin(), job.failed_on.end());
+    belief.failures = job.failures;
+    belief.pause = left(job.backoff_until);
+    out.jobs.push_back(std::move(belief));
+  }
+  std::sort(out.jobs.begin(), out.jobs.end(),
+            [](const JobBelief& a, const JobBelief& b) { return a.id < b.id; });
+  for (const auto& [id, machine] : fleet_.all())
+    if (machine.errors > 0 || machine.quarantined)
+      out.machines.push_back({id,
+                              machine.errors,
+                              {machine.error_jobs.begin(), machine.error_jobs.end()},
+                              machine.quarantined});
+  for (const auto& [option, until] : market_.resting())
+    if (until > now) out.resting.push_back({option, left(until)});
+  return out;
+}
+
+// Only hints: placing prefers other machines, waits or asks later. Whatever the beliefs say, what
+// is on machines follows from reports alone. Times are bounded by what the job itself tells, so
+// that a wrong time of day does no harm.
+void Controller::believe(const Beliefs& beliefs, TimePoint now) {
+  const auto elapsed = beliefs.elapsed(settings_.wall_at_start);
+  estimator_ = beliefs.estimates;
+  for (const auto& belief : beliefs.jobs) {
+    const auto found = jobs_.find(belief.id);
+    if (found == jobs_.end()) continue;
+    auto& job = found->second;
+    const auto most = std::max(Seconds(0), Seconds(settings_.wall_at_start - job.record.submitted));
+    job.opened = now - to_duration(std::clamp(belief.waited + elapsed, Seconds(0), most));
+    for (const auto& [index, saved] : belief.saved)
+      if (index < job.tasks.size() && saved > Seconds(0)) job.tasks[index].saved = saved;
+    job.failed_on.insert(belief.failed_on.begin(), belief.failed_on.end());
+    job.failures = belief.failures;
+    const auto pause = std::clamp(belief.pause - elapsed, Seconds(0), kLongestPause);
+    job.backoff_until = now + to_duration(pause);
+  }
+  for (const auto& belief : beliefs.machines) {
+    auto* machine = fleet_.find(belief.id);
+    if (machine == nullptr) continue;
+    machine->errors = belief.errors;
+    machine->error_jobs.insert(belief.error_jobs.begin(), belief.error_jobs.end());
+    machine->quarantined = belief.quarantined;
+  }
+  for (const auto& belief : beliefs.resting) {
+    const auto left = std::min(belief.left - elapsed, settings_.tuning.refused_rest);
+    if (left > Seconds(0)) market_.rest(belief.option, now + to_duration(left));
+  }
+}
+
 std::optional<JobCounts> Controller::counts(const JobId& id) const {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return std::nullopt;
@@ -132,8 +200,10 @@
 std::string Controller::summary() const {
   std::size_t waiting = 0;
   std::size_t bound = 0;
+  std::size_t unreported = 0;
   for (const auto& [id, job] : jobs_) {
     waiting += job.waiting.size();
+    if (recovery_.unaccounted(job)) unreported += job.waiting.size();
     for (const auto index : job.waiting) bound += job.tasks[index].bound.empty() ? 0 : 1;
   }
   struct TypeUse {
@@ -170,7 +240,8 @@
     text << "]";
   }
   if (recovery_.recovering())
-    text << " recovering, " << recovery_.waiting() << " machines to answer";
+    text << " recovering, " << recovery_.waiting() << " machines to answer, " << unreported
+         << " of the waiting tasks may be on them";
   return text.str();
 }
 
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -78,6 +78,8 @@
   // Machines looked at so far, each time counted; tests hold it against the events.
   std::uint64_t looks() const { return out_.looks(); }
   std::string summary() const;
+  // What the next leader may go by. `wall`: the time of day now.
+  Beliefs beliefs(TimePoint now, WallTime wall) const;
 
   // Calls `visit(name, part)` for every part that owns state, in the order in which saves hold
   // them.
@@ -103,6 +105,8 @@
   }
 
  private:
+  void believe(const Beliefs& beliefs, TimePoint now);
+
   const ControllerSettings settings_;
   Outbox out_;
   Catalog catalog_;
--- a/src/core/estimator.hpp
+++ b/src/core/estimator.hpp
@@ -22,6 +22,8 @@
     average.ratio += (ratio - average.ratio) / average.count;
   }
 
+  bool empty() const { return averages_.empty(); }
+
   Seconds estimate(const JobSpec& spec) const {
     if (spec.shape == Shape::service) return kEndless;
     const auto known = averages_.find(spec.job_class);
--- a/src/core/settings.hpp
+++ b/src/core/settings.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/actions.hpp"
+#include "core/beliefs.hpp"
 
 namespace violetpulley::core {
 
@@ -53,10 +54,11 @@
   std::vector<MachineRecord> machines;
   std::vector<JobRecord> jobs;
   std::vector<ProgressRecord> progress;
+  Beliefs beliefs;
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.machines, s.jobs, s.progress);
+    f(s.machines, s.jobs, s.progress, s.beliefs);
   }
 };
 
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -136,6 +136,19 @@
   }
 };
 
+// What machines differ in when they are rented.
+struct OptionKey {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  friend auto operator<=>(const OptionKey&, const OptionKey&) = default;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.type, s.zone, s.spot);
+  }
+};
+
 enum class TaskState { fetching, waiting, running, saving, exited };
 enum class ExitCause { none, done, stopped, peers_gone, incomplete, error, no_room, busy, unknown };
 
--- /dev/null
+++ b/src/history/describe.cpp
@@ -0,0 +1,122 @@
+#include "history/describe.hpp"
+
+#include <sstream>
+
+#include "history/digest.hpp"
+
+namespace violetpulley::history {
+
+namespace {
+
+void add_report(Subjects& out, const core::WorkerReport& report) {
+  out.machines.push_back(report.machine);
+  for (const auto& task : report.tasks) out.jobs.push_back(task.task.job);
+}
+
+std::string report_line(const core::WorkerReport& report) {
+  std::map<std::string, int> states;
+  for (const auto& task : report.tasks) {
+    static constexpr const char* kStates[] = {"fetching", "waiting", "running", "saving", "exited"};
+    ++states[kStates[static_cast<int>(task.state)]];
+  }
+  std::ostringstream out;
+  out << report.machine << " session " << report.session << " message " << report.sequence
+      << " token " << report.token;
+  if (report.notice) out << " taken in " << report.notice->count() << " s";
+  for (const auto& [state, count] : states) out << ", " << count << " " << state;
+  return out.str();
+}
+
+std::string event_line(const core::Event& event) {
+  std::ostringstream out;
+  const auto visit = [&]<typename T>(const T& e) {
+    if constexpr (std::is_same_v<T, core::TakenOver>)
+      out << e.inheritance.jobs.size() << " jobs, " << e.inheritance.machines.size()
+          << " machines, beliefs about " << e.inheritance.beliefs.jobs.size() << " jobs";
+    else if constexpr (std::is_same_v<T, core::CatalogKnown>)
+      out << e.types.size() << " types";
+    else if constexpr (std::is_same_v<T, core::JobOpened>)
+      out << e.record.spec.id << " of " << e.record.spec.team << ", class "
+          << e.record.spec.job_class << ", " << e.record.spec.tasks << " tasks";
+    else if constexpr (std::is_same_v<T, core::JobClosed>)
+      out << e.id;
+    else if constexpr (std::is_same_v<T, core::MachineReported>)
+      out << report_line(e.report);
+    else if constexpr (std::is_same_v<T, core::OrdersAnswered>)
+      out << e.machine << (e.report ? "" : " gave no answer");
+    else if constexpr (std::is_same_v<T, core::MachineSaved>)
+      out << e.id << (e.ok ? "" : " failed");
+    else if constexpr (std::is_same_v<T, core::ProgressSaved>)
+      out << e.saved.record.job << " chunk " << e.saved.record.chunk << (e.ok ? "" : " failed");
+    else if constexpr (std::is_same_v<T, core::FinishAnswered>)
+      out << e.job << " is not ended yet";
+    else if constexpr (std::is_same_v<T, core::RentalAnswered>)
+      out << e.name << " brought " << e.answer.machines.size();
+    else if constexpr (std::is_same_v<T, core::ReleaseAnswered>)
+      out << e.machines.size() << " machines" << (e.ok ? "" : " failed");
+    else if constexpr (std::is_same_v<T, core::CloudListed>)
+      out << e.machines.size() << " machines";
+    else
+      out << (e.may_place ? "" : "may not serve");
+  };
+  std::visit(visit, event);
+  return out.str();
+}
+
+}  // namespace
+
+Subjects subjects_of(const Record& record) {
+  Subjects out;
+  const auto* event = std::get_if<core::Event>(&record.what);
+  if (event == nullptr) return out;
+  const auto visit = [&]<typename T>(const T& e) {
+    if constexpr (std::is_same_v<T, core::JobOpened>)
+      out.jobs.push_back(e.record.spec.id);
+    else if constexpr (std::is_same_v<T, core::JobClosed>)
+      out.jobs.push_back(e.id);
+    else if constexpr (std::is_same_v<T, core::FinishAnswered>)
+      out.jobs.push_back(e.job);
+    else if constexpr (std::is_same_v<T, core::ProgressSaved>)
+      out.jobs.push_back(e.saved.record.job);
+    else if constexpr (std::is_same_v<T, core::MachineReported>)
+      add_report(out, e.report);
+    else if constexpr (std::is_same_v<T, core::MachineSaved>)
+      out.machines.push_back(e.id);
+    else if constexpr (std::is_same_v<T, core::RentalAnswered>)
+      out.machines = e.answer.machines;
+    else if constexpr (std::is_same_v<T, core::ReleaseAnswered>)
+      out.machines = e.machines;
+    else if constexpr (std::is_same_v<T, core::OrdersAnswered>) {
+      if (e.report)
+        add_report(out, *e.report);
+      else
+        out.machines.push_back(e.machine);
+    }
+  };
+  std::visit(visit, *event);
+  return out;
+}
+
+std::string kind_of(const Record& record) {
+  const auto* event = std::get_if<core::Event>(&record.what);
+  return event == nullptr ? "acted" : core::name_of(*event);
+}
+
+std::string describe(const Record& record) {
+  const auto* event = std::get_if<core::Event>(&record.what);
+  return event == nullptr ? "digest " + hex(std::get<Acted>(record.what).digest)
+                          : event_line(*event);
+}
+
+nlohmann::json to_json(const Record& record, std::uint64_t number) {
+  const auto subjects = subjects_of(record);
+  return {{"record", number},
+          {"token", record.token},
+          {"at_s", core::Seconds(record.at.time_since_epoch()).count()},
+          {"kind", kind_of(record)},
+          {"text", describe(record)},
+          {"jobs", subjects.jobs},
+          {"machines", subjects.machines}};
+}
+
+}  // namespace violetpulley::history
--- a/src/history/digest.hpp
+++ b/src/history/digest.hpp
@@ -25,6 +25,11 @@
   void add_bytes(std::string_view bytes) {
     XXH3_64bits_update(state_.get(), bytes.data(), bytes.size());
   }
+  static std::uint64_t of_bytes(std::string_view bytes) {
+    Digest digest;
+    digest.add_bytes(bytes);
+    return digest.value();
+  }
   std::uint64_t value() const { return XXH3_64bits_digest(state_.get()); }
 
  private:
--- /dev/null
+++ b/src/history/event_log.hpp
@@ -0,0 +1,88 @@
+// Writes a history into a directory: events in segments, saves beside them. Owns what waits to be
+// written and the save that is being made; the caller gives the time.
+//
+// A save is made in these steps, so that it is complete or absent: what waits is written and
+// synced, the next segment is begun, the state is taken at that place, written in slices to a file
+// with another name while events go on to the new segment, synced, read back and checked, and
+// renamed. The last two saves are kept; segments and saves that the older of them covers are
+// removed.
+#pragma once
+
+#include "history/reader.hpp"
+
+namespace violetpulley::history {
+
+enum class SyncPolicy { never, interval, always };
+
+struct LogSettings {
+  SyncPolicy sync = SyncPolicy::interval;
+  core::Seconds sync_every{1};
+  core::Seconds save_every{60};
+  std::uint64_t most_bytes = std::uint64_t{1} << 30U;  // of events since the older save
+  std::size_t slice_bytes = 128 * 1024;                // of a save written at once
+};
+
+class EventLog {
+ public:
+  // Goes on behind `contents`, cutting a torn tail by beginning a new segment. Throws FileError.
+  EventLog(Files& files, std::optional<Key> key, LogSettings settings, const Contents& contents,
+           HistoryId new_id, core::WallTime wall);
+
+  void record(core::Token token, core::TimePoint at, const core::Event& event);
+  // `digest`: of the actions that the shells were given.
+  void acted(core::Token token, core::TimePoint at, std::uint64_t digest);
+
+  // Writes what waits, if that is due. Throws FileError: then the log cannot go on.
+  void flush(core::TimePoint now);
+
+  // Whether it is time for a save, and none is being made.
+  bool save_due(core::TimePoint now) const;
+  // Takes the state, which must hold all events recorded so far and nothing else.
+  void begin_save(const core::Controller& controller, const core::TakenOver& origin,
+                  core::TimePoint taken_over_at, core::TimePoint now, core::WallTime wall);
+  // Writes the next slice of the save, and finishes it after the last. Throws FileError, Damaged.
+  void continue_save();
+  // Keeps the last saves and what is after the oldest of them.
+  void prune(std::size_t saves_kept);
+  bool saving() const { return save_.has_value(); }
+
+  std::uint64_t events() const { return first_event_ + records_; }
+  std::uint64_t bytes() const { return segment_bytes_; }
+  std::uint64_t saves_made() const { return saves_made_; }
+
+ private:
+  struct Save {
+    std::uint64_t segment = 0;
+    FrameWriter frames;
+    Parts parts;
+    std::size_t part = 0;
+    std::size_t at = 0;        // in that part
+    std::uint64_t digest = 0;  // of the state
+    Digest written;            // of the file
+  };
+  void begin_segment(core::WallTime wall);
+  void add(const Record& record);
+  void write_out();
+  void sync(core::TimePoint now);
+  void write_slice();
+  void finish_save();
+
+  Files& files_;
+  std::optional<Key> key_;
+  LogSettings settings_;
+  HistoryId history_;
+  std::uint64_t segment_ = 0;
+  std::uint64_t first_event_ = 0;
+  std::uint64_t records_ = 0;
+  Tag previous_tail_{};
+  std::optional<FrameWriter> frames_;
+  Sink sink_;
+  std::uint64_t segment_bytes_ = 0;  // of all segments since the last save
+  std::optional<core::TimePoint> last_sync_;
+  bool unsynced_ = false;
+  std::optional<core::TimePoint> last_save_;
+  std::optional<Save> save_;
+  std::uint64_t saves_made_ = 0;
+};
+
+}  // namespace violetpulley::history
--- /dev/null
+++ b/src/history/frames.cpp
@@ -0,0 +1,181 @@
+#include "history/frames.hpp"
+
+#include <sodium.h>
+#include <xxhash.h>
+
+#include <cstring>
+
+namespace violetpulley::history {
+
+namespace {
+
+constexpr std::string_view kMagic = "VPHIST";
+constexpr std::size_t kHead = 10;    // magic, kind, version, signed
+constexpr std::size_t kFront = 20;   // length, checksum, synced
+constexpr std::size_t kSynced = 12;  // where the last of these begins
+constexpr std::uint32_t kMostPayload = 64U << 20U;
+
+template <class T>
+void put(std::string& out, T value) {
+  for (std::size_t i = 0; i < sizeof(T); ++i)
+    out.push_back(static_cast<char>(value >> (8 * i) & 0xFF));
+}
+
+template <class T>
+T get(std::string_view bytes, std::size_t at) {
+  T value = 0;
+  for (std::size_t i = 0; i < sizeof(T); ++i)
+    value |= static_cast<T>(static_cast<unsigned char>(bytes[at + i])) << (8 * i);
+  return value;
+}
+
+// The checksum and the MAC cover the same bytes: length, synced and payload.
+std::uint64_t checksum(std::uint32_t length, std::string_view covered, std::uint64_t number) {
+  return XXH3_64bits_withSeed(covered.data(), covered.size(),
+                              number * 0x9E3779B97F4A7C15ULL ^ length);
+}
+
+}  // namespace
+
+Key parse_key(std::string_view text) {
+  while (!text.empty() && (text.back() == '\n' || text.back() == '\r' || text.back() == ' '))
+    text.remove_suffix(1);
+  Key key{};
+  std::size_t length = 0;
+  const char* end = nullptr;
+  const int bad =
+      sodium_hex2bin(key.data(), key.size(), text.data(), text.size(), nullptr, &length, &end);
+  if (bad != 0 || length != key.size() || end != text.data() + text.size())
+    throw std::invalid_argument("a key is 64 hexadecimal digits");
+  return key;
+}
+
+Tag Chain::extend(std::string_view frame) {
+  if (!key_) return {};
+  crypto_generichash_state state;
+  crypto_generichash_init(&state, key_->data(), key_->size(), tail_.size());
+  crypto_generichash_update(&state, tail_.data(), tail_.size());
+  crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(frame.data()),
+                            frame.size());
+  crypto_generichash_final(&state, tail_.data(), tail_.size());
+  return tail_;
+}
+
+std::string file_head(FileKind kind, bool keyed) {
+  std::string head(kMagic);
+  head.push_back(static_cast<char>(kind));
+  put<std::uint16_t>(head, kFormatVersion);
+  head.push_back(keyed ? 1 : 0);
+  return head;
+}
+
+FrameWriter::FrameWriter(FileKind kind, std::optional<Key> key)
+    : chain_(key), waiting_(file_head(kind, key.has_value())), written_(waiting_.size()) {
+  chain_.extend(waiting_);
+}
+
+void FrameWriter::add(std::string_view payload) {
+  if (payload.size() > kMostPayload) throw std::length_error("a record is too large");
+  const auto length = static_cast<std::uint32_t>(payload.size());
+  std::string covered;
+  covered.reserve(8 + payload.size());
+  put(covered, synced_);
+  covered.append(payload);
+  const auto before = waiting_.size();
+  put(waiting_, length);
+  put(waiting_, checksum(length, covered, number_++));
+  waiting_.append(covered);
+  if (chain_.keyed()) {
+    const auto tag = chain_.extend(covered);
+    waiting_.append(reinterpret_cast<const char*>(tag.data()), tag.size());
+  }
+  written_ += waiting_.size() - before;
+}
+
+std::string FrameWriter::take() {
+  taken_ += waiting_.size();
+  return std::exchange(waiting_, {});
+}
+
+FrameReader::FrameReader(std::string name, std::string_view bytes, FileKind kind,
+                         std::optional<Key> key)
+    : name_(std::move(name)), bytes_(bytes), key_(key), chain_(key) {
+  if (bytes_.size() < kHead) {
+    torn_ = bytes_.size();
+    torn_cause_ = "the head of the file is cut off";
+    return;
+  }
+  if (bytes_.substr(0, kMagic.size()) != kMagic)
+    throw Damaged(name_, 0, "this is no file of a history");
+  if (bytes_[6] != static_cast<char>(kind)) throw Damaged(name_, 6, "it is of another kind");
+  const auto version = get<std::uint16_t>(bytes_, 7);
+  if (version != kFormatVersion)
+    throw Damaged(name_, 7,
+                  "format version " + std::to_string(version) + " is unknown; this program reads " +
+                      std::to_string(kFormatVersion));
+  if (bytes_[9] != 0 && bytes_[9] != 1) throw Damaged(name_, 9, "neither signed nor unsigned");
+  signed_ = bytes_[9] == 1;
+  if (key && !signed_) throw Damaged(name_, 9, "it is not signed, although a key is set");
+  chain_.extend(bytes_.substr(0, kHead));
+  offset_ = kHead;
+}
+
+std::optional<FrameReader::Frame> FrameReader::frame_at(std::size_t at, std::uint64_t number,
+                                                        const char*& why) const {
+  const auto left = bytes_.size() - at;
+  why = "a frame is cut off";
+  if (left < kFront) return std::nullopt;
+  const auto length = get<std::uint32_t>(bytes_, at);
+  const std::size_t whole = kFront + length + (signed_ ? Tag{}.size() : 0);
+  if (length > kMostPayload || whole > left) return std::nullopt;
+  Frame frame;
+  frame.covered = bytes_.substr(at + kSynced, 8 + length);
+  frame.payload = bytes_.substr(at + kFront, length);
+  frame.synced = get<std::uint64_t>(bytes_, at + kSynced);
+  frame.end = at + whole;
+  why = "a checksum is wrong";
+  if (get<std::uint64_t>(bytes_, at + 4) != checksum(length, frame.covered, number))
+    return std::nullopt;
+  return frame;
+}
+
+// The frame's number is not known behind damage: a few follow, so small numbers of lost frames are
+// tried. A chance match needs 64 equal bits.
+bool FrameReader::proved_synced(std::size_t at) const {
+  constexpr std::uint64_t kMostLost = 64;
+  const char* why = nullptr;
+  for (auto from = at; from + kFront <= bytes_.size(); ++from) {
+    const auto length = get<std::uint32_t>(bytes_, from);
+    if (length > kMostPayload || length > bytes_.size() - from) continue;
+    if (get<std::uint64_t>(bytes_, from + kSynced) <= at) continue;  // would prove nothing
+    if (get<std::uint64_t>(bytes_, from + kSynced) > from) continue;
+    for (auto lost = std::uint64_t{0}; lost <= kMostLost; ++lost)
+      if (frame_at(from, number_ + lost, why)) return true;
+  }
+  return false;
+}
+
+std::optional<std::string_view> FrameReader::next() {
+  if (torn_ > 0 || offset_ >= bytes_.size()) return std::nullopt;
+  const char* why = nullptr;
+  const auto frame = frame_at(offset_, number_, why);
+  if (!frame) {
+    if (proved_synced(offset_)) throw Damaged(name_, offset_, why);
+    torn_ = bytes_.size() - offset_;
+    torn_cause_ = why;
+    return std::nullopt;
+  }
+  if (key_) {
+    const auto tag = chain_.extend(frame->covered);
+    const auto given = bytes_.substr(frame->end - tag.size(), tag.size());
+    if (sodium_memcmp(tag.data(), given.data(), tag.size()) != 0)
+      throw Damaged(name_, offset_,
+                    "the checksum is right and the MAC is wrong: it was changed, or written with "
+                    "another key");
+  }
+  offset_ = frame->end;
+  ++number_;
+  return frame->payload;
+}
+
+}  // namespace violetpulley::history
--- /dev/null
+++ b/src/history/frames.hpp
@@ -0,0 +1,124 @@
+// Files of a history: a fixed head, then frames. A frame is
+//
+//   u32 length | u64 checksum | u64 synced | payload | 16 bytes of MAC if the file is signed
+//
+// all little-endian. The checksum (XXH3, seeded with the frame's number in the file) covers length,
+// synced and payload. `synced` is how much of the file was known to outlive a power cut when the
+// frame was written: it tells a torn tail from damage. Bytes after the last sync may be lost in any
+// order, so a bad frame is a torn tail unless a good frame behind it says that the place had been
+// synced. The MAC (keyed BLAKE2b) covers the one before it, so frames cannot be changed, swapped or
+// left out without the key.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace violetpulley::history {
+
+// Damage that must not be passed over: where it is, and what is wrong.
+struct Damaged : std::runtime_error {
+  Damaged(std::string at, std::size_t position, std::string why)
+      : std::runtime_error(at + " at byte " + std::to_string(position) + ": " + why),
+        file(std::move(at)),
+        offset(position),
+        cause(std::move(why)) {}
+  std::string file;
+  std::size_t offset;
+  std::string cause;
+};
+
+using Key = std::array<unsigned char, 32>;
+using Tag = std::array<unsigned char, 16>;
+
+// 64 hexadecimal digits, as `head -c 32 /dev/urandom | xxd -p -c 32` makes them. Throws
+// std::invalid_argument with the cause.
+Key parse_key(std::string_view text);
+
+// The chain of MACs of one file; without a key all tags are empty.
+class Chain {
+ public:
+  explicit Chain(std::optional<Key> key) : key_(key) {}
+  bool keyed() const { return key_.has_value(); }
+  // The tag of a frame that follows all before it.
+  Tag extend(std::string_view frame);
+  const Tag& tail() const { return tail_; }
+
+ private:
+  std::optional<Key> key_;
+  Tag tail_{};
+};
+
+enum class FileKind : char { events = 'E', save = 'S' };
+inline constexpr std::uint16_t kFormatVersion = 1;
+
+// The fixed head: magic, kind, version, whether the frames are signed.
+std::string file_head(FileKind kind, bool keyed);
+
+class FrameWriter {
+ public:
+  FrameWriter(FileKind kind, std::optional<Key> key);
+
+  // Adds a frame to what waits to be written.
+  void add(std::string_view payload);
+  // What waits, the head of a new file included.
+  std::string take();
+  std::size_t waiting() const { return waiting_.size(); }
+  std::uint64_t written() const { return written_; }  // bytes so far, with what waits
+  const Tag& tail() const { return chain_.tail(); }
+  // Everything taken so far outlives a power cut.
+  void synced() { synced_ = taken_; }
+
+ private:
+  Chain chain_;
+  std::string waiting_;
+  std::uint64_t number_ = 0;
+  std::uint64_t written_ = 0;
+  std::uint64_t taken_ = 0;
+  std::uint64_t synced_ = 0;
+};
+
+// Reads the frames of one file in memory.
+class FrameReader {
+ public:
+  // Throws Damaged if the head is not one of this kind and version. `key`: null if MACs cannot be
+  // checked; with a key a file without MACs is refused. An empty or cut head is a torn tail at 0.
+  FrameReader(std::string name, std::string_view bytes, FileKind kind, std::optional<Key> key);
+
+  // The next payload, or none at the end or at a torn tail. Throws Damaged.
+  std::optional<std::string_view> next();
+
+  std::size_t offset() const { return offset_; }  // of what follows the last good frame
+  std::size_t torn_bytes() const { return torn_; }
+  const std::string& torn_cause() const { return torn_cause_; }
+  const Tag& tail() const { return chain_.tail(); }
+  std::uint64_t frames() const { return number_; }
+
+ private:
+  struct Frame {
+    std::string_view payload;
+    std::string_view covered;  // by the checksum
+    std::uint64_t synced = 0;
+    std::size_t end = 0;
+  };
+  // Why there is no good frame, in words.
+  std::optional<Frame> frame_at(std::size_t at, std::uint64_t number, const char*& why) const;
+  // Whether a good frame behind `at` tells that the place had been synced.
+  bool proved_synced(std::size_t at) const;
+
+  std::string name_;
+  std::string_view bytes_;
+  bool signed_ = false;
+  std::optional<Key> key_;
+  Chain chain_;
+  std::size_t offset_ = 0;
+  std::uint64_t number_ = 0;
+  std::size_t torn_ = 0;
+  std::string torn_cause_;
+};
+
+}  // namespace violetpulley::history
--- /dev/null
+++ b/src/history/keeper.cpp
@@ -0,0 +1,101 @@
+#include "history/keeper.hpp"
+
+#include <sodium.h>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+
+namespace violetpulley::history {
+
+namespace {
+
+HistoryId new_history_id() {
+  std::array<unsigned char, 16> bytes{};
+  randombytes_buf(bytes.data(), bytes.size());
+  std::string text(bytes.size() * 2 + 1, '\0');
+  sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
+  text.pop_back();
+  return text;
+}
+
+}  // namespace
+
+template <class Work>
+void Keeper::guarded(const Work& work) {
+  try {
+    work();
+  } catch (const std::exception& problem) {
+    // A disk that is full or read-only, or a history that is damaged.
+    spdlog::error("history is off from here on, the service goes on without it: {}",
+                  problem.what());
+    log_.reset();
+  }
+}
+
+Keeper::Keeper(const Settings& settings, core::WallTime wall) {
+  guarded([&] {
+    files_ = std::make_unique<Directory>(settings.directory, true);
+    start(settings, wall);
+  });
+}
+
+Keeper::Keeper(std::unique_ptr<Files> files, const Settings& settings, core::WallTime wall)
+    : files_(std::move(files)) {
+  guarded([&] { start(settings, wall); });
+}
+
+void Keeper::start(const Settings& settings, core::WallTime wall) {
+  const auto begun = core::Clock::now();
+  Replay replay;
+  Reader reader(*files_, settings.key);
+  const auto contents = reader.recover(replay, [](const Damaged& problem) {
+    spdlog::error("history: a save is damaged, the one before it is used: {}", problem.what());
+  });
+  if (const auto* last = contents.last(); last != nullptr && last->torn_bytes > 0)
+    spdlog::warn("history: {} is torn, {} bytes are cut off: {}", last->name, last->torn_bytes,
+                 last->torn_cause);
+  if (replay.difference())
+    spdlog::warn("history: the replay differs from what was recorded at event {}",
+                 replay.difference()->record);
+  if (replay.controller() != nullptr)
+    beliefs_ = replay.controller()->beliefs(replay.now(), replay.wall_now());
+  log_ = std::make_unique<EventLog>(*files_, settings.key, settings.log, contents, new_history_id(),
+                                    wall);
+  spdlog::info("history: {} events, recovered in {:.3f} s", contents.events(),
+               core::Seconds(core::Clock::now() - begun).count());
+}
+
+void Keeper::taken_over(core::TimePoint at, const core::TakenOver& event) {
+  origin_ = event;
+  origin_.inheritance = {};
+  taken_over_at_ = at;
+  record(at, event);
+}
+
+void Keeper::record(core::TimePoint at, const core::Event& event) {
+  if (log_) guarded([&] { log_->record(origin_.token, at, event); });
+}
+
+void Keeper::acted(core::TimePoint at, const std::vector<core::Action>& actions) {
+  if (log_ && !actions.empty())
+    guarded([&] { log_->acted(origin_.token, at, digest_of(actions)); });
+}
+
+void Keeper::pump(const core::Controller& controller, core::TimePoint now, core::WallTime wall) {
+  if (!log_) return;
+  guarded([&] {
+    log_->flush(now);
+    if (log_->saving())
+      log_->continue_save();
+    else if (log_->save_due(now))
+      log_->begin_save(controller, origin_, taken_over_at_, now, wall);
+  });
+}
+
+std::string Keeper::summary() const {
+  if (!log_) return "history off";
+  return "history: " + std::to_string(log_->events()) + " events, " +
+         std::to_string(log_->saves_made()) + " saves";
+}
+
+}  // namespace violetpulley::history
--- /dev/null
+++ b/src/history/records.cpp
@@ -0,0 +1,80 @@
+#include "history/records.hpp"
+
+#include <charconv>
+
+#include "history/digest.hpp"
+
+namespace violetpulley::history {
+
+namespace {
+
+constexpr std::string_view kSegment = "events-";
+constexpr std::string_view kSegmentEnd = ".vph";
+constexpr std::string_view kSave = "save-";
+constexpr std::string_view kSaveEnd = ".vps";
+constexpr std::size_t kDigits = 12;
+
+std::string name(std::string_view front, std::uint64_t number, std::string_view end) {
+  auto digits = std::to_string(number);
+  if (digits.size() < kDigits) digits.insert(0, kDigits - digits.size(), '0');
+  return std::string(front) + digits + std::string(end);
+}
+
+std::optional<std::uint64_t> number(std::string_view name, std::string_view front,
+                                    std::string_view end) {
+  if (!name.starts_with(front) || !name.ends_with(end)) return std::nullopt;
+  name.remove_prefix(front.size());
+  name.remove_suffix(end.size());
+  std::uint64_t value = 0;
+  const auto [stop, error] = std::from_chars(name.data(), name.data() + name.size(), value);
+  if (error != std::errc() || stop != name.data() + name.size() || name.size() < kDigits)
+    return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+Parts parts_of(const core::Controller& controller) {
+  Parts parts;
+  core::Controller::each_part(controller, [&](const char* name, const auto& part) {
+    parts.emplace_back(name, packed(part));
+  });
+  return parts;
+}
+
+void restore_parts(core::Controller& controller, const Parts& parts) {
+  std::size_t at = 0;
+  core::Controller::each_part(controller, [&](const char* name, auto& part) {
+    if (at >= parts.size() || parts[at].first != name)
+      throw BadValue("the part \"" + std::string(name) + "\" of the state is missing");
+    const auto& bytes = parts[at++].second;
+    try {
+      const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+      read(handle.get(), part);
+    } catch (const msgpack::unpack_error& problem) {
+      throw BadValue("the part \"" + std::string(name) + "\" is not msgpack: " + problem.what());
+    } catch (const BadValue& problem) {
+      throw BadValue("the part \"" + std::string(name) + "\": " + problem.what());
+    }
+  });
+}
+
+std::uint64_t digest_of(const Parts& parts) {
+  Digest digest;
+  for (const auto& [name, bytes] : parts) {
+    digest.add_bytes(name);
+    digest.add_bytes(bytes);
+  }
+  return digest.value();
+}
+
+std::string segment_name(std::uint64_t number) { return name(kSegment, number, kSegmentEnd); }
+std::string save_name(std::uint64_t segment) { return name(kSave, segment, kSaveEnd); }
+std::optional<std::uint64_t> segment_number(const std::string& name) {
+  return number(name, kSegment, kSegmentEnd);
+}
+std::optional<std::uint64_t> save_number(const std::string& name) {
+  return number(name, kSave, kSaveEnd);
+}
+
+}  // namespace violetpulley::history
--- /dev/null
+++ b/src/history/records.hpp
@@ -0,0 +1,102 @@
+// What is in the frames of a history.
+//
+// Events file: a `SegmentHead`, then records in the order in which they entered the core.
+// Save: a `SaveHead`, the parts of the core's state in slices, a `SaveEnd`.
+#pragma once
+
+#include "core/events.hpp"
+#include "history/frames.hpp"
+#include "history/pack.hpp"
+
+namespace violetpulley::history {
+
+// Names one history, so that files of two are not mixed.
+using HistoryId = std::string;
+
+struct SegmentHead {
+  HistoryId history;
+  std::uint64_t segment = 0;
+  std::uint64_t first_event = 0;  // how many events came before it in this history
+  std::string previous_tail;      // last MAC of the segment before, if signed
+  core::WallTime begun{};
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.history, s.segment, s.first_event, s.previous_tail, s.begun);
+  }
+};
+
+// What the shells were given after the events before it: a replay must come to the same.
+struct Acted {
+  std::uint64_t digest = 0;
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.digest);
+  }
+};
+
+struct Record {
+  core::Token token = 0;
+  core::TimePoint at{};  // steady clock of the process that wrote it
+  std::variant<core::Event, Acted> what;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.token, s.at, s.what);
+  }
+};
+
+// A save's place: all events before `segment` are in it.
+struct SaveHead {
+  HistoryId history;
+  std::uint64_t segment = 0;
+  std::uint64_t events = 0;
+  core::TimePoint at{};
+  core::WallTime wall{};
+  core::TimePoint taken_over_at{};
+  core::TakenOver origin;   // without what it inherited
+  std::string events_tail;  // last MAC of the segment before, if signed
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.history, s.segment, s.events, s.at, s.wall, s.taken_over_at, s.origin, s.events_tail);
+  }
+};
+
+// Parts are cut into slices of bytes; the last one of a part says so.
+struct SaveSlice {
+  std::string part;
+  bool last = false;
+  std::string bytes;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.part, s.last, s.bytes);
+  }
+};
+
+struct SaveEnd {
+  std::uint64_t state_digest = 0;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.state_digest);
+  }
+};
+
+using SavePiece = std::variant<SaveHead, SaveSlice, SaveEnd>;
+
+// The core's state, part by part in the order of `Controller::each_part`.
+using Parts = std::vector<std::pair<std::string, std::string>>;
+Parts parts_of(const core::Controller& controller);
+// Throws BadValue if a part is missing or cannot be read.
+void restore_parts(core::Controller& controller, const Parts& parts);
+std::uint64_t digest_of(const Parts& parts);
+
+std::string segment_name(std::uint64_t number);
+std::string save_name(std::uint64_t segment);
+// The number in a name of that kind, or none.
+std::optional<std::uint64_t> segment_number(const std::string& name);
+std::optional<std::uint64_t> save_number(const std::string& name);
+
+}  // namespace violetpulley::history
--- /dev/null
+++ b/src/history/replay.cpp
@@ -0,0 +1,53 @@
+#include "history/replay.hpp"
+
+namespace violetpulley::history {
+
+std::uint64_t digest_of(const std::vector<core::Action>& actions) {
+  Digest digest;
+  digest.add(actions);
+  return digest.value();
+}
+
+void Replay::restore(const SaveHead& head, const Parts& parts) {
+  origin_ = head.origin;
+  taken_over_at_ = head.taken_over_at;
+  controller_ = core::make_controller(origin_, taken_over_at_);
+  controller_->take_actions();
+  restore_parts(*controller_, parts);
+  now_ = head.at;
+  events_ = head.events;
+}
+
+void Replay::apply(const Record& record) {
+  now_ = record.at;
+  const auto number = events_++;
+  if (const auto* acted = std::get_if<Acted>(&record.what)) {
+    if (!controller_) throw BadValue("actions come before any takeover");
+    const auto actions = controller_->take_actions();
+    const auto digest = digest_of(actions);
+    actions_.add(digest);
+    if (digest != acted->digest && !difference_)
+      difference_ = Difference{number, acted->digest, digest};
+    return;
+  }
+  const auto& event = std::get<core::Event>(record.what);
+  if (const auto* takeover = std::get_if<core::TakenOver>(&event)) {
+    controller_ = core::make_controller(*takeover, record.at);
+    taken_over_at_ = record.at;
+    origin_ = {takeover->settings, takeover->token, takeover->older_leases_end, {}};
+    return;
+  }
+  if (!controller_) throw BadValue("an event comes before any takeover");
+  core::apply(*controller_, event, record.at);
+}
+
+core::WallTime Replay::wall_now() const {
+  return origin_.settings.wall_at_start +
+         std::chrono::duration_cast<std::chrono::milliseconds>(now_ - taken_over_at_);
+}
+
+std::uint64_t Replay::state_digest() const {
+  return controller_ ? digest_of(parts_of(*controller_)) : 0;
+}
+
+}  // namespace violetpulley::history
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -114,7 +114,8 @@
 
 Leader::Leader(asio::io_context& io, const config::Settings& settings, const core::Tuning& tuning,
                core::Leadership& leadership, store::Election& election, store::StoreClient& store,
-               store::JobMirror& mirror, cloud::CloudClient& cloud)
+               store::JobMirror& mirror, cloud::CloudClient& cloud,
+               const config::HistorySettings& history, history::Keeper* keeper)
     : io_(io),
       settings_(settings),
       tuning_(tuning),
@@ -125,20 +126,52 @@
       cloud_(cloud),
       token_(leadership.token()),
       won_at_(Clock::now()),
+      keeper_(keeper),
       writer_(store, token_, settings.state_changes_per_transaction, page_bytes(settings)),
       orders_(io, token_, most_order_lines(settings),
               [this, alive = alive_](const core::MachineId& id, const core::WorkerReport* report) {
                 if (!*alive || !controller_) return;
-                controller_->orders_answered(id, report, Clock::now());
+                feed(core::OrdersAnswered{
+                    id, report == nullptr ? std::nullopt : std::optional(*report)});
                 pump_soon();
               }),
       load_timer_(io),
       tick_timer_(io),
       verify_timer_(io) {
+  if (keeper_ != nullptr) believed_ = keeper_->beliefs();
+  if (history.home == config::HistoryHome::state_service) {
+    beliefs_ = std::make_unique<store::BeliefStore>(
+        store_, writer_, token_,
+        store::BeliefSettings{history.key, history.log.save_every, history.most_age,
+                              page_bytes(settings)});
+    // Nothing waits for it: a takeover that is faster goes without.
+    beliefs_->load(wall_now(), [this](std::optional<core::Beliefs> found) {
+      if (found) believed_ = std::move(*found);
+    });
+  }
   load();
 }
 
-Leader::~Leader() { *alive_ = false; }
+Leader::~Leader() {
+  *alive_ = false;
+  if (keeper_ != nullptr && controller_)
+    keeper_->leader_ends(controller_->beliefs(Clock::now(), wall_now()));
+}
+
+core::WallTime Leader::wall_now() const {
+  return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+}
+
+void Leader::feed(core::Event event, core::TimePoint now) {
+  if (keeper_ != nullptr) keeper_->record(now, event);
+  core::apply(*controller_, event, now);
+}
+
+// Between events, when the actions of all before were taken.
+void Leader::keep_history(core::TimePoint now) {
+  if (keeper_ != nullptr) keeper_->pump(*controller_, now, wall_now());
+  if (beliefs_ && beliefs_->due(now)) beliefs_->save(controller_->beliefs(now, wall_now()), now);
+}
 
 void Leader::load_again() {
   load_timer_.expires_after(milliseconds(200));
@@ -201,15 +234,14 @@
 }
 
 void Leader::take_over() {
-  core::ControllerSettings controller{
-      settings_.teams,
-      settings_.workers,
-      tuning_,
-      settings_.cloud_requests_per_s * kCloudCalls,
-      settings_.cloud_list_lag,
-      {},
-      {},
-      std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now())};
+  core::ControllerSettings controller{settings_.teams,
+                                      settings_.workers,
+                                      tuning_,
+                                      settings_.cloud_requests_per_s * kCloudCalls,
+                                      settings_.cloud_list_lag,
+                                      {},
+                                      {},
+                                      wall_now()};
   for (const auto& objective : settings_.objectives) {
     if (objective.kind == "finished")
       controller.aims.push_back({objective.job_class, objective.within});
@@ -221,13 +253,20 @@
                inheritance_.machines.size(), inheritance_.progress.size());
   std::set<core::JobId> known;
   for (const auto& record : inheritance_.jobs) known.insert(record.spec.id);
-  controller_ = std::make_unique<core::Controller>(std::move(controller), token_, now,
-                                                   leadership_.older_leases_end(now),
-                                                   std::move(inheritance_));
-  if (!types_.empty()) controller_->set_catalog(types_);
+  inheritance_.beliefs = std::move(believed_);
+  if (!inheritance_.beliefs.empty())
+    spdlog::info("takeover: beliefs {:.1f} s old about {} jobs, {} machines, {} refused types",
+                 inheritance_.beliefs.elapsed(controller.wall_at_start).count(),
+                 inheritance_.beliefs.jobs.size(), inheritance_.beliefs.machines.size(),
+                 inheritance_.beliefs.resting.size());
+  const core::TakenOver event{std::move(controller), token_, leadership_.older_leases_end(now),
+                              std::move(inheritance_)};
+  if (keeper_ != nullptr) keeper_->taken_over(now, event);
+  controller_ = core::make_controller(event, now);
+  if (!types_.empty()) feed(core::CatalogKnown{types_}, now);
   // What opened or closed between the barrier and now.
   for (const auto& id : known)
-    if (mirror_.find(id) == nullptr) controller_->job_closed(id, now);
+    if (mirror_.find(id) == nullptr) feed(core::JobClosed{id}, now);
   for (const auto& [id, record] : mirror_.jobs())
     if (!known.contains(id)) unverified_[id] = record;
   verify_jobs();
@@ -263,10 +302,12 @@
 void Leader::pump() {
   if (!controller_) return;
   const auto now = Clock::now();
-  controller_->tick(now, leadership_.may_serve(now));
+  feed(core::Ticked{leadership_.may_serve(now)}, now);
   auto actions = controller_->take_actions();
+  if (keeper_ != nullptr) keeper_->acted(now, actions);
   for (auto& action : actions) carry_out(action);
   writer_.flush(now);
+  keep_history(now);
 }
 
 void Leader::job_opened(const core::JobRecord& record) {
@@ -278,7 +319,7 @@
 void Leader::job_closed(const core::JobId& id) {
   unverified_.erase(id);
   if (!controller_) return;
-  controller_->job_closed(id, Clock::now());
+  feed(core::JobClosed{id});
   pump_soon();
 }
 
@@ -294,7 +335,7 @@
     for (const auto& [id, record] : batch) {
       if (mirror_.find(id) == nullptr) continue;
       if (ours)
-        controller_->job_opened(record, now);
+        feed(core::JobOpened{record}, now);
       else
         unverified_.emplace(id, record);
     }
@@ -311,7 +352,7 @@
 void Leader::set_catalog(const std::vector<core::MachineType>& types) {
   types_ = types;
   if (!controller_) return;
-  controller_->set_catalog(types);
+  feed(core::CatalogKnown{types});
   pump_soon();
 }
 
@@ -322,7 +363,7 @@
     listing_ = false;
     last_list_ = Clock::now();
     if (!machines) return;
-    controller_->cloud_listed(*machines, Clock::now());
+    feed(core::CloudListed{std::move(*machines)});
     pump_soon();
   });
 }
@@ -338,11 +379,12 @@
     spdlog::warn("malformed report: {}", problem.what());
     return respond({400, R"({"error":"malformed report"})", {}});
   }
-  controller_->report(report, now);
+  const bool outdated = report.token > token_;
+  const auto machine = report.machine;
+  feed(core::MachineReported{std::move(report)}, now);
   respond({200,
-           agent::response_body(token_, report.token > token_
-                                            ? std::vector<core::Command>{}
-                                            : controller_->response_commands(report.machine)),
+           agent::response_body(token_, outdated ? std::vector<core::Command>{}
+                                                 : controller_->response_commands(machine)),
            {}});
   pump_soon();
 }
@@ -361,7 +403,7 @@
       return;
     }
     // Ended otherwise, or unknown: the mirror tells, and until then it is tried again.
-    controller_->finish_answered(action.job, Clock::now() + milliseconds(700));
+    feed(core::FinishAnswered{action.job, Clock::now() + milliseconds(700)});
   });
 }
 
@@ -380,7 +422,7 @@
              // Only now: until its registration is committed, the rental's record tells of the
              // machine.
              if (up) writer_.rented().erase(id, Clock::now());
-             controller_->machine_saved(id, up, true);
+             feed(core::MachineSaved{id, up, true});
              pump_soon();
            });
 }
@@ -399,8 +441,9 @@
       const auto name = progress_name(a.record.job, a.record.chunk);
       writer_.progress().put(name, progress_to_json(a.record, a.tasks_in_chunk),
                              progress_bytes(name, a.tasks_in_chunk), store::Haste::lazy,
-                             Clock::now(),
-                             [this, saved = a] { controller_->progress_saved(saved, true); });
+                             Clock::now(), [this, saved = a] {
+                               feed(core::ProgressSaved{saved, true});
+                             });
     } else if constexpr (std::is_same_v<T, core::FinishJob>) {
       finish(a);
     } else if constexpr (std::is_same_v<T, core::DeleteProgress>) {
@@ -413,7 +456,7 @@
         if (answer.machines.size() < static_cast<std::size_t>(request.count))
           spdlog::info("rental {} brought {} of {} machines", request.name, answer.machines.size(),
                        request.count);
-        controller_->rental_answered(request.name, answer, Clock::now());
+        feed(core::RentalAnswered{request.name, answer});
         pump_soon();
       });
     } else if constexpr (std::is_same_v<T, core::Release>) {
@@ -422,7 +465,7 @@
       cloud_.release(a.machines, [this, alive = alive_, machines = a.machines](bool ok) {
         if (!*alive) return;
         if (!ok) spdlog::warn("machines could not be returned; will try again");
-        controller_->release_answered(machines, ok, Clock::now());
+        feed(core::ReleaseAnswered{machines, ok});
         pump_soon();
       });
     } else if constexpr (std::is_same_v<T, core::Resign>) {
--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -4,9 +4,12 @@
 
 #include "agent/orders_sender.hpp"
 #include "cloud/cloud_client.hpp"
+#include "config/history_settings.hpp"
 #include "config/settings.hpp"
-#include "core/controller.hpp"
+#include "core/events.hpp"
+#include "history/keeper.hpp"
 #include "net/http_server.hpp"
+#include "store/belief_store.hpp"
 #include "store/election.hpp"
 #include "store/job_mirror.hpp"
 #include "store/leader_writer.hpp"
@@ -17,7 +20,8 @@
  public:
   Leader(asio::io_context& io, const config::Settings& settings, const core::Tuning& tuning,
          core::Leadership& leadership, store::Election& election, store::StoreClient& store,
-         store::JobMirror& mirror, cloud::CloudClient& cloud);
+         store::JobMirror& mirror, cloud::CloudClient& cloud,
+         const config::HistorySettings& history, history::Keeper* keeper);
   ~Leader();
   Leader(const Leader&) = delete;
   Leader& operator=(const Leader&) = delete;
@@ -30,6 +34,11 @@
   const core::Controller* controller() const { return controller_.get(); }
 
  private:
+  // Everything that enters the core comes through here, so that the history holds all of it.
+  void feed(core::Event event, core::TimePoint now);
+  void feed(core::Event event) { feed(std::move(event), core::Clock::now()); }
+  core::WallTime wall_now() const;
+  void keep_history(core::TimePoint now);
   void load();
   void load_pages(std::vector<store::PagedRecords*> books,
                   std::vector<std::vector<store::Item>> pages);
@@ -59,7 +68,9 @@
   core::Token token_;
   core::TimePoint won_at_;
 
+  history::Keeper* keeper_;  // null: no directory keeps the history
   store::LeaderWriter writer_;
+  std::unique_ptr<store::BeliefStore> beliefs_;  // null: the state service keeps none
   agent::OrdersSender orders_;
   asio::steady_timer load_timer_;
   asio::steady_timer tick_timer_;
@@ -67,6 +78,7 @@
   std::unique_ptr<core::Controller> controller_;
   std::vector<core::MachineType> types_;
   core::Inheritance inheritance_;
+  core::Beliefs believed_;
   std::map<core::JobId, core::JobRecord> unverified_;
   bool verifying_ = false;
   bool pump_posted_ = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,13 +5,13 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "node.hpp"
+#include "commands/exit_codes.hpp"
+#include "commands/history.hpp"
+#include "commands/serve.hpp"
 
 namespace {
 
-// Exit codes, as in docs/operations.md.
-constexpr int kBadSettings = 2;
-constexpr int kCannotServe = 3;
+using namespace violetpulley::commands;
 
 bool set_log_level() {
   spdlog::set_default_logger(spdlog::stderr_logger_st("violetpulley"));
@@ -29,52 +29,40 @@
   return true;
 }
 
+void add_serve_options(CLI::App& app, ServeOptions& options, bool required) {
+  auto* config = app.add_option("--config", options.config, "the platform's settings file (TOML)");
+  if (required) config->required();
+  app.add_option("--operator-settings", options.operators, "the operators' own settings (YAML)");
+  app.add_option("--history", options.history, "settings of the history (YAML, see deploy/)");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app{"violetpulley: a cluster scheduler that packs tasks by predicted run time"};
-  std::string config;
-  std::string operators;
-  bool check = false;
+  int result = kFine;
+  ServeOptions options;
+  bool only_check = false;
   app.set_version_flag("--version", std::string("violetpulley ") + VIOLETPULLEY_VERSION);
-  app.add_option("--config", config, "the platform's settings file (TOML)")->required();
-  app.add_option("--operator-settings", operators, "the operators' own settings (YAML)");
-  app.add_flag("--check", check, "check the settings and exit");
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& problem) {
-    return app.exit(problem) == 0 ? 0 : kBadSettings;
-  }
+  add_serve_options(app, options, false);
+  app.add_flag("--check", only_check, "check the settings and exit");
+  app.require_subcommand(0, 1);
+  auto* serving = app.add_subcommand("serve", "start a controller; the same as without a command");
+  add_serve_options(*serving, options, true);
+  auto* checking = app.add_subcommand("check", "check the settings and exit");
+  add_serve_options(*checking, options, true);
   if (!set_log_level()) {
     std::cerr << "violetpulley: LOG_LEVEL must be error, info or debug\n";
     return kBadSettings;
   }
-  violetpulley::config::Settings settings;
-  violetpulley::core::Tuning tuning;
+  add_history(app, result);
   try {
-    settings = violetpulley::config::load_settings(config);
-    if (!operators.empty()) tuning = violetpulley::config::load_tuning(operators);
-  } catch (const violetpulley::config::SettingsError& problem) {
-    std::cerr << "violetpulley: " << problem.what() << "\n";
-    return kBadSettings;
-  }
-  if (check) {
-    std::cout << "settings of " << settings.member << " are good\n";
-    return 0;
-  }
-  try {
-    asio::io_context io(1);
-    asio::signal_set signals(io, SIGINT, SIGTERM);
-    violetpulley::Node node(io, std::move(settings), tuning);
-    signals.async_wait([&io](const asio::error_code& error, int signal) {
-      if (error) return;
-      spdlog::info("ending on signal {}", signal);
-      io.stop();
-    });
-    io.run();
-  } catch (const std::exception& problem) {
-    std::cerr << "violetpulley: " << problem.what() << "\n";
-    return kCannotServe;
+    app.parse(argc, argv);
+    const bool other = !app.get_subcommands().empty() && !serving->parsed() && !checking->parsed();
+    if (other) return result;
+    if (options.config.empty()) throw CLI::RequiredError("--config");
+  } catch (const CLI::ParseError& problem) {
+    return app.exit(problem) == 0 ? kFine : kBadSettings;
   }
-  return 0;
+  return only_check || checking->parsed() ? check(options) : serve(options);
 }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -32,10 +32,12 @@
 
 }  // namespace
 
-Node::Node(asio::io_context& io, config::Settings settings, core::Tuning tuning)
+Node::Node(asio::io_context& io, config::Settings settings, core::Tuning tuning,
+           config::HistorySettings history)
     : io_(io),
       settings_(std::move(settings)),
       tuning_(tuning),
+      history_(std::move(history)),
       leadership_(settings_.workers, settings_.clock_skew),
       store_(io, net::parse_endpoint(settings_.state_address), share(false),
              seed_of(settings_.member)),
@@ -67,6 +69,10 @@
               [this](net::Request&& request, const net::Responder& respond) {
                 route(std::move(request), respond);
               }) {
+  if (history_.home == config::HistoryHome::directory)
+    keeper_ = std::make_unique<history::Keeper>(
+        history::Keeper::Settings{history_.directory, history_.key, history_.log},
+        std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now()));
   mirror_.start();
   election_.start();
   fetch_catalog();
@@ -91,7 +97,7 @@
   store_.set_share(share(true));
   mirror_.set_watch_gap(kLeaderWatchGap);
   leader_ = std::make_unique<Leader>(io_, settings_, tuning_, leadership_, election_, store_,
-                                     mirror_, cloud_);
+                                     mirror_, cloud_, history_, keeper_.get());
   if (!types_.empty()) leader_->set_catalog(types_);
   fetch_catalog_later(milliseconds(500));
 }
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -9,7 +9,8 @@
 
 class Node {
  public:
-  Node(asio::io_context& io, config::Settings settings, core::Tuning tuning);
+  Node(asio::io_context& io, config::Settings settings, core::Tuning tuning,
+       config::HistorySettings history);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -40,6 +41,8 @@
   asio::io_context& io_;
   config::Settings settings_;
   core::Tuning tuning_;
+  config::HistorySettings history_;
+  std::unique_ptr<history::Keeper> keeper_;  // before the leader, which writes to it
   core::Leadership leadership_;
   store::StoreClient store_;
   store::JobMirror mirror_;
--- /dev/null
+++ b/tests/history_test.cpp
@@ -0,0 +1,526 @@
+// Histories: what a core was told is written down, and a replay comes to the same. Each hard case
+// is compared with a clean run over the same events, by digest of the state after every record.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+
+#include "config/history_settings.hpp"
+#include "history/keeper.hpp"
+#include "memory_files.hpp"
+#include "world.hpp"
+
+namespace violetpulley::history {
+namespace {
+
+using core::Seconds;
+using core::TimePoint;
+using std::chrono::milliseconds;
+
+const Key kKey = parse_key(std::string(64, '7'));
+const Key kOtherKey = parse_key(std::string(64, '8'));
+
+// What leaders were told and did in a seeded world with all its troubles, and the digest of the
+// state before each record.
+struct Story {
+  std::vector<Record> records;
+  std::vector<std::uint64_t> states;  // one more than records
+};
+
+Story tell(std::uint64_t seed, Seconds length) {
+  Story story;
+  core::simulated::World world(seed);
+  core::simulated::Watcher watcher;
+  watcher.event = [&](core::Token token, TimePoint at, const core::Event& event) {
+    story.records.push_back({token, at, event});
+  };
+  watcher.actions = [&](core::Token token, TimePoint at, const std::vector<core::Action>& actions,
+                        const core::Controller&) {
+    if (!actions.empty()) story.records.push_back({token, at, Acted{digest_of(actions)}});
+  };
+  world.run(Seconds(20));
+  world.watch(watcher);
+  world.run(length);
+  Replay clean;
+  for (const auto& record : story.records) {
+    story.states.push_back(clean.state_digest());
+    clean.apply(record);
+  }
+  story.states.push_back(clean.state_digest());
+  EXPECT_FALSE(clean.difference()) << "replay differs at " << clean.difference()->record;
+  return story;
+}
+
+// A process that writes a story's records as a leader's shell does.
+class Writer {
+ public:
+  Writer(Files& files, LogSettings settings, std::optional<Key> key = {})
+      : files_(files), settings_(settings), key_(key) {}
+
+  // Recovers and returns how many records are there.
+  std::uint64_t open() {
+    replay_ = std::make_unique<Replay>();
+    const auto contents =
+        Reader(files_, key_).recover(*replay_, [](const Damaged&) { ADD_FAILURE(); });
+    log_ = std::make_unique<EventLog>(files_, key_, settings_, contents, "test", core::WallTime{});
+    return contents.events();
+  }
+  const Replay& replay() const { return *replay_; }
+
+  void write(const Record& record) {
+    replay_->apply(record);
+    if (const auto* event = std::get_if<core::Event>(&record.what))
+      log_->record(record.token, record.at, *event);
+    else
+      log_->acted(record.token, record.at, std::get<Acted>(record.what).digest);
+    log_->flush(record.at);
+    const bool between = std::holds_alternative<Acted>(record.what);
+    if (log_->saving())
+      log_->continue_save();
+    else if (between && log_->save_due(record.at))
+      log_->begin_save(*replay_->controller(), replay_->origin(), replay_->taken_over_at(),
+                       record.at, core::WallTime{});
+  }
+  const EventLog& log() const { return *log_; }
+
+ private:
+  Files& files_;
+  LogSettings settings_;
+  std::optional<Key> key_;
+  std::unique_ptr<Replay> replay_;
+  std::unique_ptr<EventLog> log_;
+};
+
+LogSettings often() {
+  LogSettings settings;
+  settings.sync = SyncPolicy::interval;
+  settings.sync_every = Seconds(0.5);
+  settings.save_every = Seconds(4);
+  settings.slice_bytes = 4000;
+  return settings;
+}
+
+std::string last_segment(MemoryFiles& files) {
+  std::string name;
+  for (const auto& entry : files.list())
+    if (segment_number(entry)) name = entry;
+  return name;
+}
+
+// What is there now is the state of a clean run after as many records, and going on from there
+// comes to the clean run's end.
+void expect_clean(Files& files, const Story& story, std::uint64_t least,
+                  std::optional<Key> key = {}) {
+  Writer writer(files, often(), key);
+  const auto there = writer.open();
+  ASSERT_GE(there, least);
+  ASSERT_LE(there, story.records.size());
+  ASSERT_EQ(writer.replay().state_digest(), story.states[there]) << "after " << there;
+  for (auto i = there; i < story.records.size(); ++i) writer.write(story.records[i]);
+  EXPECT_EQ(writer.replay().state_digest(), story.states.back());
+  EXPECT_FALSE(writer.replay().difference());
+  // And it is whole for whoever reads it next.
+  EXPECT_EQ(Reader(files, key).check().events(), story.records.size());
+}
+
+class Replays : public ::testing::TestWithParam<int> {};
+
+TEST_P(Replays, FromSavesAndFromTheStartComeToTheLiveState) {
+  const auto story = tell(static_cast<std::uint64_t>(GetParam()), Seconds(120));
+  MemoryFiles files;
+  Writer writer(files, often(), kKey);
+  writer.open();
+  for (const auto& record : story.records) writer.write(record);
+  ASSERT_GT(writer.log().saves_made(), 3U);
+  Reader reader(files, kKey);
+  const auto contents = reader.check();
+  EXPECT_EQ(contents.events(), story.records.size());
+  EXPECT_EQ(contents.saves.size(), 2U);
+  // Both saves are the state of a clean run, and covered events are gone.
+  for (const auto& save : contents.saves)
+    EXPECT_EQ(save.state_digest, story.states[save.head.events]);
+  EXPECT_EQ(contents.segments.front().head.segment, contents.saves.front().head.segment);
+  for (const bool from_older : {false, true}) {
+    Replay replay;
+    reader.replay(contents, replay, from_older);
+    EXPECT_EQ(replay.state_digest(), story.states.back());
+    EXPECT_FALSE(replay.difference());
+  }
+  const auto until = contents.saves.front().head.events + 5;
+  Replay early;
+  reader.replay(contents, early, false, until);
+  EXPECT_EQ(early.state_digest(), story.states[until]);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Replays, ::testing::Range(31, 35));
+
+const Story& short_story() {
+  static const Story story = tell(7, Seconds(20));
+  return story;
+}
+
+TEST(History, KilledAtAnyCallItGoesOnFromWhatWasWritten) {
+  const auto& story = short_story();
+  std::size_t calls = 0;
+  {
+    MemoryFiles files;
+    Writer writer(files, often());
+    writer.open();
+    for (const auto& record : story.records) writer.write(record);
+    ASSERT_GE(writer.log().saves_made(), 2U);
+    ASSERT_GT(story.records.size(), 150U);
+    calls = files.calls();
+  }
+  for (std::size_t n = 1; n <= calls; ++n) {
+    SCOPED_TRACE("killed at call " + std::to_string(n));
+    MemoryFiles files;
+    files.fail_at(n);
+    std::uint64_t flushed = 0;
+    try {
+      Writer writer(files, often());
+      writer.open();
+      for (const auto& record : story.records) {
+        writer.write(record);
+        ++flushed;
+      }
+    } catch (const FileError&) {
+    }
+    files.restart();
+    expect_clean(files, story, flushed);
+    if (HasFailure()) return;
+  }
+}
+
+TEST(History, AfterAPowerCutWhatWasSyncedIsThere) {
+  const auto& story = short_story();
+  auto settings = often();
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    std::mt19937_64 random(seed);
+    settings.sync = seed % 3 == 0 ? SyncPolicy::always : SyncPolicy::interval;
+    MemoryFiles files;
+    const auto end = random() % story.records.size();
+    {
+      Writer writer(files, settings);
+      writer.open();
+      for (std::size_t i = 0; i < end; ++i) writer.write(story.records[i]);
+    }
+    files.power_cut(random);
+    expect_clean(files, story, settings.sync == SyncPolicy::always ? end : 0);
+    if (HasFailure()) return;
+  }
+}
+
+// What a reader makes of a history: refused, or a prefix of the records.
+enum class Verdict { refused, prefix };
+
+Verdict judge(MemoryFiles& files, const Story& story, std::optional<Key> key) {
+  Contents contents;
+  try {
+    Reader reader(files, key);
+    contents = reader.check();
+    for (const auto& segment : contents.segments)
+      reader.read_segment(segment.name, [&](const Record& record, std::uint64_t number) {
+        EXPECT_LT(number, story.records.size());
+        if (number < story.records.size()) {
+          EXPECT_EQ(packed(record), packed(story.records[number])) << "a wrong record was accepted";
+        }
+        return true;
+      });
+  } catch (const Damaged&) {
+    return Verdict::refused;
+  }
+  return Verdict::prefix;
+}
+
+struct Written {
+  MemoryFiles files;
+  std::string last;
+  std::size_t records = 0;
+};
+
+// A history whose last segment is short, as a process leaves it that ended now.
+void write_story(Written& out, const Story& story, std::optional<Key> key) {
+  Writer writer(out.files, often(), key);
+  writer.open();
+  std::uint64_t saves = 0;
+  std::size_t behind = 0;
+  for (const auto& record : story.records) {
+    writer.write(record);
+    ++out.records;
+    if (writer.log().saves_made() > saves) behind = 0;
+    saves = writer.log().saves_made();
+    if (saves >= 2 && ++behind == 25) break;
+  }
+  out.last = last_segment(out.files);
+}
+
+TEST(History, EveryByteOfTheLastSegmentCutOffOrFlipped) {
+  const auto& story = short_story();
+  for (const bool with_key : {false, true}) {
+    const auto key = with_key ? std::optional(kKey) : std::nullopt;
+    Written written;
+    write_story(written, story, key);
+    const auto whole = written.files.bytes(written.last);
+    const auto files = written.files.snapshot();
+    std::size_t refused = 0;
+    const auto head = whole.size() < 400 ? whole.size() : std::size_t{400};
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+      // Not every byte of the longest bodies, but all of the first and of the last.
+      if (at > head && at + 400 < whole.size() && at % 7 != 0) continue;
+      MemoryFiles cut;
+      cut.put(files);
+      cut.bytes(written.last).resize(at);
+      judge(cut, story, key);
+      MemoryFiles flipped;
+      flipped.put(files);
+      flipped.bytes(written.last)[at] ^= static_cast<char>(1U << at % 8);
+      if (judge(flipped, story, key) == Verdict::refused) ++refused;
+      ASSERT_FALSE(HasFailure()) << "byte " << at;
+    }
+    EXPECT_GT(refused, whole.size() / 20) << "damage before the last sync is refused";
+  }
+}
+
+TEST(History, DamageInTheMiddleIsRefusedWithPlaceAndCause) {
+  const auto& story = short_story();
+  Written written;
+  write_story(written, story, kKey);
+  const auto files = written.files.snapshot();
+  const auto refuses = [&](const std::string& cause, auto change, std::optional<Key> key) {
+    auto changed = files;
+    change(changed);
+    MemoryFiles memory;
+    memory.put(changed);
+    try {
+      Reader(memory, key).check();
+      ADD_FAILURE() << "accepted, although " << cause << " was expected";
+    } catch (const Damaged& problem) {
+      EXPECT_NE(std::string(problem.what()).find(cause), std::string::npos) << problem.what();
+    }
+  };
+  using Map = std::map<std::string, std::string>;
+  std::vector<std::string> segments;
+  std::vector<std::string> saves;
+  for (const auto& [name, bytes] : files) {
+    if (segment_number(name)) segments.push_back(name);
+    if (save_number(name)) saves.push_back(name);
+  }
+  ASSERT_GE(segments.size(), 2U);
+  refuses(
+      "checksum", [&](Map& m) { m[segments[0]][m[segments[0]].size() / 2] ^= 1; }, kKey);
+  refuses(
+      "missing", [&](Map& m) { m.erase(segments.back()); }, kKey);
+  refuses(
+      "swapped", [&](Map& m) { std::swap(m[segments[0]], m[segments[1]]); }, kKey);
+  refuses(
+      "swapped", [&](Map& m) { std::swap(m[saves[0]], m[saves[1]]); }, kKey);
+  refuses(
+      "checksum", [&](Map& m) { m[saves[1]][m[saves[1]].size() / 2] ^= 1; }, kKey);
+  refuses(
+      "no save covers",
+      [&](Map& m) {
+        for (const auto& s : saves) m.erase(s);
+      },
+      kKey);
+  refuses(
+      "another key", [&](Map&) {}, kOtherKey);
+  refuses(
+      "format version 9 is unknown", [&](Map& m) { m[segments[0]][7] = 9; }, kKey);
+  refuses(
+      "format version 9 is unknown", [&](Map& m) { m[saves[1]][7] = 9; }, kKey);
+  // Someone without the key writes a history anew, checksums and all.
+  Written unsigned_one;
+  write_story(unsigned_one, story, std::nullopt);
+  refuses(
+      "not signed", [&](Map& m) { m = unsigned_one.files.snapshot(); }, kKey);
+}
+
+TEST(History, ASegmentLeftOutOrASaveThatIsNotTheirsIsRefused) {
+  const auto& story = short_story();
+  auto settings = often();
+  settings.save_every = Seconds(1000);
+  MemoryFiles files;
+  for (std::size_t at = 0; at < 60; at += 20) {  // three processes, a segment each
+    Writer writer(files, settings, kKey);
+    EXPECT_EQ(writer.open(), at);
+    for (auto i = at; i < at + 20; ++i) writer.write(story.records[i]);
+  }
+  EXPECT_EQ(Reader(files, kKey).check().segments.size(), 3U);
+  files.remove(segment_name(2));
+  EXPECT_THROW(Reader(files, kKey).check(), Damaged);
+  Replay replay;
+  EXPECT_THROW(Reader(files, kKey).recover(replay, [](const Damaged&) {}), Damaged);
+}
+
+// A record changed together with its checksum: only the MAC tells.
+TEST(History, AChangedRecordWithARightChecksumIsTampering) {
+  FrameWriter good(FileKind::events, kKey);
+  FrameWriter other(FileKind::events, kOtherKey);
+  for (auto* frames : {&good, &other})
+    for (const char* text : {"one", "two", "three"}) frames->add(text);
+  const auto bytes = good.take();
+  auto forged = other.take();
+  FrameReader unchecked("f", forged, FileKind::events, std::nullopt);
+  EXPECT_EQ(unchecked.next(), "one");
+  FrameReader checked("f", forged, FileKind::events, kKey);
+  EXPECT_THROW(checked.next(), Damaged);
+  FrameReader reader("f", bytes, FileKind::events, kKey);
+  for (const char* text : {"one", "two", "three"}) EXPECT_EQ(reader.next(), text);
+  EXPECT_FALSE(reader.next());
+}
+
+TEST(History, ADamagedNewestSaveLeavesTheOneBefore) {
+  const auto& story = short_story();
+  Written written;
+  write_story(written, story, kKey);
+  std::vector<std::string> saves;
+  for (const auto& name : written.files.list())
+    if (save_number(name)) saves.push_back(name);
+  written.files.bytes(saves.back())[100] ^= 4;
+  int notes = 0;
+  Replay replay;
+  const auto contents =
+      Reader(written.files, kKey).recover(replay, [&](const Damaged&) { ++notes; });
+  EXPECT_EQ(notes, 1);
+  EXPECT_EQ(contents.events(), written.records);
+  EXPECT_EQ(replay.state_digest(), story.states[written.records]);
+}
+
+TEST(History, AFullDiskEndsTheHistoryAndNotTheService) {
+  const auto& story = short_story();
+  auto memory = std::make_unique<MemoryFiles>();
+  auto* files = memory.get();
+  Keeper keeper(std::move(memory), {"", std::nullopt, often()}, {});
+  ASSERT_TRUE(keeper.on());
+  files->full_after(3000);
+  const core::Controller* controller = nullptr;
+  std::unique_ptr<core::Controller> held;
+  for (const auto& record : story.records) {
+    const auto* event = std::get_if<core::Event>(&record.what);
+    if (event == nullptr) continue;
+    if (const auto* takeover = std::get_if<core::TakenOver>(event)) {
+      keeper.taken_over(record.at, *takeover);
+      held = core::make_controller(*takeover, record.at);
+      controller = held.get();
+      continue;
+    }
+    core::apply(*held, *event, record.at);
+    keeper.record(record.at, *event);
+    keeper.acted(record.at, held->take_actions());
+    keeper.pump(*controller, record.at, {});
+  }
+  EXPECT_FALSE(keeper.on());
+  EXPECT_EQ(keeper.summary(), "history off");
+}
+
+TEST(History, EmptyAndClockThatStepsBack) {
+  MemoryFiles files;
+  Writer writer(files, often());
+  EXPECT_EQ(writer.open(), 0U);
+  EXPECT_EQ(Writer(files, often()).open(), 0U);
+  // Times that step back neither stop saves for ever nor end the log.
+  auto story = short_story();
+  MemoryFiles back;
+  Writer stepping(back, often());
+  stepping.open();
+  for (std::size_t i = 0; i < story.records.size(); ++i) {
+    if (i >= story.records.size() / 2) story.records[i].at -= std::chrono::hours(2);
+    stepping.write(story.records[i]);
+  }
+  EXPECT_EQ(Reader(back, {}).check().events(), story.records.size());
+}
+
+TEST(History, ASecondProcessIsRefusedTheDirectory) {
+  const auto path = ::testing::TempDir() + "violetpulley-history-" + std::to_string(getpid());
+  const Directory first(path, true);
+  EXPECT_THROW(Directory(path, true), FileError);
+  EXPECT_NO_THROW(Directory(path, false));
+  std::filesystem::remove_all(path);
+}
+
+// A hundred thousand tasks in one job go through a save and come back.
+TEST(History, AJobOfAHundredThousandTasks) {
+  core::TakenOver takeover;
+  takeover.settings.teams = {{"t", 0, 0, 0, 0}};
+  takeover.token = 5;
+  const TimePoint now{std::chrono::hours(1)};
+  core::JobRecord record;
+  record.spec.id = "req-1";
+  record.spec.team = "t";
+  record.spec.tasks = 100'000;
+  record.spec.per_task = {1, 0, 1};
+  takeover.inheritance.jobs = {record};
+  MemoryFiles files;
+  auto settings = often();
+  settings.slice_bytes = 64 * 1024;
+  Writer writer(files, settings);
+  writer.open();
+  writer.write({5, now, takeover});
+  writer.write({5, now + std::chrono::seconds(5), core::Event(core::Ticked{true})});
+  writer.write({5, now + std::chrono::seconds(6), Acted{digest_of(std::vector<core::Action>{})}});
+  while (writer.log().saving())
+    writer.write({5, now + std::chrono::seconds(6), core::Event(core::Ticked{true})});
+  ASSERT_EQ(writer.log().saves_made(), 1U);
+  const auto state = writer.replay().state_digest();
+  Writer again(files, settings);
+  again.open();
+  EXPECT_EQ(again.replay().state_digest(), state);
+  EXPECT_EQ(again.replay().controller()->jobs().at("req-1").waiting.size(), 100'000U);
+}
+
+// A real process on a real disk, killed at seeded points of its event count.
+TEST(History, ARealProcessKilledAtSeededPoints) {
+  const auto& story = short_story();
+  const auto path = ::testing::TempDir() + "violetpulley-killed-" + std::to_string(getpid());
+  std::mt19937_64 random(11);
+  for (int round = 0; round < 200; ++round) {
+    SCOPED_TRACE("round " + std::to_string(round));
+    std::filesystem::remove_all(path);
+    const auto end = random() % story.records.size();
+    const pid_t child = fork();
+    ASSERT_GE(child, 0);
+    if (child == 0) {
+      Directory files(path, true);
+      auto settings = often();
+      settings.sync = SyncPolicy::never;
+      Writer writer(files, settings);
+      writer.open();
+      for (std::size_t i = 0; i < end; ++i) writer.write(story.records[i]);
+      kill(getpid(), SIGKILL);
+    }
+    int status = 0;
+    ASSERT_EQ(waitpid(child, &status, 0), child);
+    ASSERT_TRUE(WIFSIGNALED(status));
+    Directory files(path, true);
+    Writer writer(files, often());
+    ASSERT_EQ(writer.open(), end);
+    ASSERT_EQ(writer.replay().state_digest(), story.states[end]);
+  }
+  std::filesystem::remove_all(path);
+}
+
+TEST(HistorySettings, NameTheFieldAndTheReason) {
+  const auto refused = [](const std::string& yaml) -> std::string {
+    try {
+      config::parse_history_settings(yaml);
+      return "accepted";
+    } catch (const config::SettingsError& problem) {
+      return problem.what();
+    }
+  };
+  EXPECT_EQ(refused("home: off\n"), "accepted");
+  EXPECT_EQ(refused("home: directory\ndirectory: /tmp/x\nsync: always\nmost_mb: 5\n"), "accepted");
+  EXPECT_NE(
+      refused("home: disk\n").find("home: must be one of directory, off, state-service (line 1)"),
+      std::string::npos);
+  EXPECT_NE(refused("home: directory\n").find("directory: is missing"), std::string::npos);
+  EXPECT_NE(refused("interval_s: 0\n").find("interval_s: must lie between"), std::string::npos);
+  EXPECT_NE(refused("\nintervall: 1\n").find("intervall: is not a known setting (line 2)"),
+            std::string::npos);
+  EXPECT_NE(refused("key_file: /nowhere\n").find("key_file: cannot read"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace violetpulley::history
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -5,6 +5,7 @@
 #include <spawn.h>
 #include <sys/wait.h>
 
+#include <filesystem>
 #include <fstream>
 
 #include "standins.hpp"
@@ -43,7 +44,11 @@
   void start(const std::string& name) {
     const auto path = ::testing::TempDir() + "violetpulley-" + std::to_string(getpid()) + name;
     std::ofstream(path) << settings(name);
-    std::vector<std::string> words{VIOLETPULLEY_PROGRAM, "--config", path};
+    const auto history = path + "-history.yaml";
+    std::ofstream(history) << (name == "n-2" ? "home: state-service\ninterval_s: 1\n"
+                                             : "home: directory\ninterval_s: 1\ndirectory: " +
+                                                   history_of(name) + "\n");
+    std::vector<std::string> words{VIOLETPULLEY_PROGRAM, "--history", history, "--config", path};
     std::vector<char*> args;
     for (auto& word : words) args.push_back(word.data());
     args.push_back(nullptr);
@@ -53,6 +58,21 @@
     processes_[name] = pid;
   }
 
+  static std::string history_of(const std::string& name) {
+    return ::testing::TempDir() + "violetpulley-" + std::to_string(getpid()) + name + "-history";
+  }
+
+  // Runs `violetpulley history ...` and returns its exit code and what it printed.
+  static std::pair<int, std::string> history(const std::string& words) {
+    const auto command = std::string(VIOLETPULLEY_PROGRAM) + " history " + words + " 2>/dev/null";
+    FILE* pipe = popen(command.c_str(), "r");
+    std::string out;
+    char buffer[4096];
+    while (const auto got = fread(buffer, 1, sizeof buffer, pipe)) out.append(buffer, got);
+    const int status = pclose(pipe);
+    return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, out};
+  }
+
   static void stop(pid_t pid) {
     kill(pid, SIGKILL);
     waitpid(pid, nullptr, 0);
@@ -128,10 +148,10 @@
 
   static std::string job(const std::string& id, int tasks, double cpus = 2,
                          const char* shape = "array") {
-    return Json{{"id", id},         {"lot", "c"},          {"owner", "team"},
-                {"shape", shape},   {"urgency", "normal"}, {"cuts", tasks},
-                {"cores", cpus},    {"gpus", 0.0},         {"memory_gb", 1},
-                {"casket", "i"},    {"image_gb", 0.1},     {"expect_s", 0.1}}
+    return Json{{"id", id},       {"lot", "c"},          {"owner", "team"},
+                {"shape", shape}, {"urgency", "normal"}, {"cuts", tasks},
+                {"cores", cpus},  {"gpus", 0.0},         {"memory_gb", 1},
+                {"casket", "i"},  {"image_gb", 0.1},     {"expect_s", 0.1}}
         .dump();
   }
 
@@ -200,6 +220,23 @@
   submit("n-0", "req-4", 3);
   wait_done("n-0", "req-4");
   wait_done("n-0", "req-1");
+
+  // What the leaders wrote while they were killed is whole, and the core run over it does the same.
+  kill_node("n-0");
+  std::uint64_t records = 0;
+  for (const char* name : {"n-0", "n-1"}) {
+    const auto directory = history_of(name);
+    const auto [code, text] = history("verify --json " + directory);
+    ASSERT_EQ(code, 0) << text;
+    records += Json::parse(text).at("records").get<std::uint64_t>();
+    const auto [replayed, digests] = history("replay --json " + directory);
+    EXPECT_EQ(replayed, 0) << digests;
+    const auto [shown, table] = history("show --json --job req-4 " + directory);
+    EXPECT_EQ(shown, 0);
+    std::filesystem::remove_all(directory);
+  }
+  EXPECT_GT(records, 0U);  // at least the last leader is one of these
+  EXPECT_EQ(history("verify /nowhere").first, 2);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/memory_files.hpp
@@ -0,0 +1,144 @@
+// A directory in memory that can fail at any call and lose power. What was not synced may be lost
+// page by page; names that were not synced may be as they were before, from some change on.
+#pragma once
+
+#include <cerrno>
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "history/files.hpp"
+
+namespace violetpulley::history {
+
+class MemoryFiles : public Files {
+ public:
+  static constexpr std::size_t kPage = 512;
+
+  std::vector<std::string> list() override {
+    call();
+    std::vector<std::string> out;
+    for (const auto& [name, file] : names_) out.push_back(name);
+    return out;
+  }
+  std::string read(const std::string& name) override {
+    call();
+    return find(name).bytes;
+  }
+  void append(const std::string& name, std::string_view bytes) override {
+    if (fails_next()) {
+      make(name).bytes.append(bytes.substr(0, bytes.size() / 2));  // a part was written
+      fail();
+    }
+    if (room_ && bytes.size() > *room_) throw FileError({ENOSPC, std::generic_category()}, name);
+    if (room_) *room_ -= bytes.size();
+    make(name).bytes.append(bytes);
+  }
+  void sync(const std::string& name) override {
+    call();
+    find(name).durable = find(name).bytes;
+  }
+  void rename(const std::string& from, const std::string& to) override {
+    call();
+    const auto file = names_.at(from);
+    change([=](Names& names) {
+      names.erase(from);
+      names[to] = file;
+    });
+  }
+  void remove(const std::string& name) override {
+    call();
+    change([=](Names& names) { names.erase(name); });
+  }
+  void sync_names() override {
+    call();
+    durable_names_ = names_;
+    changes_.clear();
+  }
+
+  // The n-th call from now, counted from 1, and all after it fail: the process is gone.
+  void fail_at(std::size_t n) { fails_at_ = calls_ + n; }
+  std::size_t calls() const { return calls_; }
+  void full_after(std::size_t bytes) { room_ = bytes; }
+
+  // The process is started again: what it wrote is there.
+  void restart() { fails_at_ = 0; }
+  // The machine was without power.
+  void power_cut(std::mt19937_64& random) {
+    restart();
+    auto names = durable_names_;
+    const auto kept = random() % (changes_.size() + 1);
+    for (std::size_t i = 0; i < kept; ++i) changes_[i](names);
+    names_ = names;
+    for (auto& [name, file] : names_) {
+      const auto& durable = file->durable;
+      auto bytes = file->bytes;
+      // The length may be any that was reached, and each page of the rest written or not.
+      bytes.resize(durable.size() + random() % (bytes.size() - durable.size() + 1));
+      for (std::size_t at = 0; at < bytes.size(); ++at)
+        if (at >= durable.size() && (at / kPage * 2654435761U ^ random_page_) % 3 == 0)
+          bytes[at] = '\0';
+      file->bytes = bytes;
+      file->durable = bytes;
+    }
+    random_page_ = random();
+    durable_names_ = names_;
+    changes_.clear();
+  }
+
+  std::string& bytes(const std::string& name) { return find(name).bytes; }
+  std::map<std::string, std::string> snapshot() const {
+    std::map<std::string, std::string> out;
+    for (const auto& [name, file] : names_) out[name] = file->bytes;
+    return out;
+  }
+  void put(const std::map<std::string, std::string>& files) {
+    names_.clear();
+    for (const auto& [name, bytes] : files)
+      names_[name] = std::make_shared<File>(File{bytes, bytes});
+    durable_names_ = names_;
+    changes_.clear();
+  }
+
+ private:
+  struct File {
+    std::string bytes;
+    std::string durable;
+  };
+  using Names = std::map<std::string, std::shared_ptr<File>>;
+
+  bool fails_next() {
+    ++calls_;
+    return fails_at_ != 0 && calls_ >= fails_at_;
+  }
+  void call() {
+    if (fails_next()) fail();
+  }
+  [[noreturn]] static void fail() { throw FileError({EIO, std::generic_category()}, "crash"); }
+  File& find(const std::string& name) {
+    const auto found = names_.find(name);
+    if (found == names_.end()) throw FileError({ENOENT, std::generic_category()}, name);
+    return *found->second;
+  }
+  File& make(const std::string& name) {
+    if (!names_.contains(name)) {
+      const auto file = std::make_shared<File>();
+      change([=](Names& names) { names[name] = file; });
+    }
+    return find(name);
+  }
+  void change(std::function<void(Names&)> what) {
+    what(names_);
+    changes_.push_back(std::move(what));
+  }
+
+  Names names_;
+  Names durable_names_;
+  std::vector<std::function<void(Names&)>> changes_;
+  std::size_t calls_ = 0;
+  std::size_t fails_at_ = 0;
+  std::optional<std::size_t> room_;
+  std::size_t random_page_ = 1;
+};
+
+}  // namespace violetpulley::history
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,768 @@
+// A seeded simulation of the core: an in-memory store, cloud, workers and users, with crashes,
+// takeovers, cut-off leaders that go on for a while, delayed and repeated commands, lost answers,
+// late writes, hangs, lease expiry, sick machines and spot notices. Every rule is checked after
+// each step.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "core/events.hpp"
+#include "core/leadership.hpp"
+#include "history/digest.hpp"
+
+namespace violetpulley::core::simulated {
+
+using std::chrono::milliseconds;
+
+inline const WorkerTimes kTimes{Seconds(3), Seconds(27), Seconds(47), Seconds(35), Seconds(4)};
+inline constexpr milliseconds kStep{100};
+
+struct LiveTask {
+  Attempt attempt = 0;
+  TaskState state = TaskState::fetching;
+  ExitCause cause = ExitCause::none;
+  TimePoint ready{};
+  TimePoint ends{};
+  TimePoint began{};  // running, or waiting for its gang
+  bool stored = false;
+};
+
+// One attempt of a gang, whose tasks find each other across machines.
+struct GangRun {
+  bool running = false;
+  TimePoint began{};
+  TimePoint ends{};
+  std::optional<TimePoint> broken;  // a task is gone: the others notice a little later
+  std::optional<TimePoint> first_stop;
+  std::size_t told = 0;  // in time to save
+};
+
+struct Worker {
+  MachineId id;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  bool gone = false;
+  bool sick = false;
+  TimePoint up_at{};
+  TimePoint hangs_until{};
+  std::uint64_t session = 1;
+  std::uint64_t sequence = 0;
+  Token token = 0;
+  TimePoint answered_sent{};
+  TimePoint next_report{};
+  std::optional<TimePoint> taken_at;
+  std::map<std::pair<TaskKey, Attempt>, LiveTask> tasks;
+  std::set<std::string> images;
+};
+
+struct StoredJob {
+  JobRecord record;
+};
+
+struct LeaderProcess {
+  std::unique_ptr<Controller> controller;
+  Leadership leadership;
+  Token token = 0;
+  bool cut = false;  // from the store, and from the workers on the far side
+  std::set<MachineId> far_side;
+};
+
+struct Watcher {
+  std::function<void(Token, TimePoint, const Event&)> event;
+  std::function<void(Token, TimePoint, const std::vector<Action>&, const Controller&)> actions;
+};
+
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random_(seed) {
+    now_ = TimePoint{} + std::chrono::hours(1);
+    MachineType small{"small", {8, 0, 32}, 20, 0.6, 0.4, 0.1, Seconds(8), {"a", "b"}};
+    MachineType large{"large", {32, 0, 256}, 20, 0.3, 2.0, 0.6, Seconds(6), {"a"}};
+    types_ = {small, large};
+    teams_ = {{"blue", 20, 40, 0, 0}, {"red", 0, 24, 0, 0}};
+    for (int i = 0; i < 3; ++i) boot("small", i % 2 == 0 ? "a" : "b", false, now_);
+    take_over();
+  }
+
+  void run(Seconds length) {
+    const auto end = now_ + to_duration(length);
+    while (now_ < end && !::testing::Test::HasFailure()) step();
+  }
+
+  void quiet() { troubles_ = false; }
+  // Told of what enters the newest leader, and of what it asks for, as a history would be.
+  void watch(Watcher watcher) {
+    watcher_ = std::move(watcher);
+    lead_no_more();
+    take_over();
+  }
+  // From here on leaders hand their beliefs on.
+  void believe() { believes_ = true; }
+  std::size_t open_jobs() const { return jobs_.size(); }
+  // Replicas that should run and do not.
+  std::size_t missing_replicas() const {
+    std::size_t missing = 0;
+    for (const auto& [id, job] : jobs_)
+      if (job.record.spec.shape == Shape::service) missing += job.record.spec.tasks;
+    for (const auto& [id, worker] : workers_)
+      for (const auto& [key, task] : worker.tasks)
+        if (task.state == TaskState::running && jobs_.contains(key.first.job) &&
+            specs_.at(key.first.job).shape == Shape::service)
+          --missing;
+    return missing;
+  }
+  void cancel_services() {
+    std::vector<JobId> ids;
+    for (const auto& [id, job] : jobs_)
+      if (job.record.spec.shape == Shape::service) ids.push_back(id);
+    for (const auto& id : ids) cancel(id);
+  }
+  std::size_t finished_jobs() const { return done_.size(); }
+  std::size_t takeovers() const { return takeovers_; }
+  std::size_t gang_starts() const { return gang_starts_; }
+  std::size_t saves() const { return saves_; }
+  // Of all actions of all leaders: equal before and after a change that is to change no decision.
+  std::uint64_t actions_digest() const { return actions_digest_.value(); }
+  std::string state() const {
+    std::string text = leader_ ? leader_->controller->summary() : "no leader";
+    for (const auto& [id, job] : jobs_) {
+      const auto& spec = job.record.spec;
+      text += "\n" + id + " team " + spec.team + " tasks " + std::to_string(spec.tasks) + " cpus " +
+              std::to_string(spec.per_task.cpus) + (spec.spot_allowed ? " spot" : "") + " zone " +
+              spec.zone.value_or("-") + (spec.types.empty() ? "" : " type " + spec.types[0]);
+    }
+    return text;
+  }
+
+ private:
+  bool chance(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+  }
+  double between(double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random_);
+  }
+  void later(Seconds delay, std::function<void()> what) {
+    events_.emplace(now_ + to_duration(delay), std::move(what));
+  }
+  const MachineType& type(const std::string& name) const {
+    return name == "small" ? types_[0] : types_[1];
+  }
+
+  void step() {
+    now_ += kStep;
+    while (!events_.empty() && events_.begin()->first <= now_) {
+      auto what = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      what();
+    }
+    if (troubles_) trouble();
+    users();
+    for (auto& [id, worker] : workers_) live(worker);
+    gangs();
+    for (auto* leader : {&leader_, &stale_})
+      if (leader->get() != nullptr) drive(**leader);
+    if (leader_ == nullptr && now_ >= next_takeover_) take_over();
+    check();
+  }
+
+  // --- leaders
+  void take_over() {
+    ++takeovers_;
+    ++revision_;
+    leader_token_ = revision_;
+    leader_ = std::make_unique<LeaderProcess>(
+        LeaderProcess{nullptr, Leadership(kTimes, milliseconds(25)), revision_, false, {}});
+    leader_->leadership.won(revision_, 1, now_);
+    Inheritance inheritance;
+    for (const auto& [id, record] : machine_records_) inheritance.machines.push_back(record);
+    for (const auto& [id, job] : jobs_) inheritance.jobs.push_back(job.record);
+    for (const auto& [key, record] : progress_) inheritance.progress.push_back(record);
+    ControllerSettings settings{
+        teams_,
+        kTimes,
+        Tuning{},
+        2.0,
+        Seconds(10),
+        {{"c0", Seconds(60)}},
+        {{"c1", 1.75}},
+        WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()))};
+    inheritance.beliefs = believed_;
+    const TakenOver event{settings, leader_->token, leader_->leadership.older_leases_end(now_),
+                          inheritance};
+    leader_->controller = make_controller(event, now_);
+    if (watcher_.event) watcher_.event(leader_->token, now_, event);
+    feed(*leader_, CatalogKnown{types_});
+  }
+
+  void feed(LeaderProcess& leader, Event event) {
+    if (&leader == leader_.get() && watcher_.event) watcher_.event(leader.token, now_, event);
+    apply(*leader.controller, event, now_);
+  }
+
+  WallTime wall_now() const {
+    return WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()));
+  }
+
+  void lead_no_more() {
+    if (believes_ && leader_) believed_ = leader_->controller->beliefs(now_, wall_now());
+    leader_.reset();
+    leader_token_ = 0;
+    next_takeover_ = now_ + to_duration(Seconds(between(0.1, 4)));
+  }
+
+  void drive(LeaderProcess& leader) {
+    if (!leader.cut) leader.leadership.proved(now_);
+    feed(leader, Ticked{leader.leadership.may_serve(now_)});
+    auto actions = leader.controller->take_actions();
+    for (const auto& action : actions) actions_digest_.add(action);
+    if (&leader == leader_.get() && watcher_.actions)
+      watcher_.actions(leader.token, now_, actions, *leader.controller);
+    const auto token = leader.token;
+    for (auto& action : actions) std::visit([&](auto& a) { carry_out(leader, token, a); }, action);
+    if (resigning_ == token) {
+      resigning_ = 0;
+      if (leader_ && leader_->token == token) lead_no_more();
+    }
+  }
+
+  LeaderProcess* process(Token token) {
+    if (leader_ && leader_->token == token) return leader_.get();
+    if (stale_ && stale_->token == token) return stale_.get();
+    return nullptr;
+  }
+  bool store_takes(Token token) const { return token == leader_token_; }
+  bool reaches(const LeaderProcess& leader, const MachineId& id) const {
+    if (leader.cut) return leader.far_side.contains(id);
+    return stale_ == nullptr || !stale_->far_side.contains(id);
+  }
+
+  void carry_out(LeaderProcess& leader, Token token, SendOrders& orders) {
+    if (!reaches(leader, orders.machine) || chance(loss())) {
+      later(Seconds(2), [this, token, id = orders.machine] { orders_lost(token, id); });
+      // Held packets: the commands may still arrive, much later.
+      if (chance(0.5))
+        later(Seconds(between(2, 40)), [this, token, orders] { deliver(token, orders, false); });
+      return;
+    }
+    later(Seconds(between(0.001, 0.2)), [this, token, orders] { deliver(token, orders, true); });
+  }
+  void orders_lost(Token token, const MachineId& id) {
+    if (auto* leader = process(token)) feed(*leader, OrdersAnswered{id, std::nullopt});
+  }
+  void deliver(Token token, const SendOrders& orders, bool answered) {
+    const auto found = workers_.find(orders.machine);
+    if (found == workers_.end() || found->second.gone || now_ < found->second.up_at)
+      return answered ? orders_lost(token, orders.machine) : void();
+    auto& worker = found->second;
+    if (now_ < worker.hangs_until) {
+      const auto rest = Seconds(worker.hangs_until - now_);
+      later(rest + Seconds(0.01), [this, token, orders] { deliver(token, orders, false); });
+      if (answered)
+        later(Seconds(2), [this, token, id = orders.machine] { orders_lost(token, id); });
+      return;
+    }
+    if (token >= worker.token && orders.session == worker.session) {
+      worker.token = token;
+      for (const auto& command : orders.commands) execute(worker, command);
+    }
+    if (!answered) return;
+    const auto report = report_of(worker);
+    if (chance(loss())) {
+      later(Seconds(2), [this, token, id = worker.id] { orders_lost(token, id); });
+      return;
+    }
+    later(Seconds(between(0.001, 0.1)), [this, token, id = worker.id, report] {
+      if (auto* leader = process(token)) feed(*leader, OrdersAnswered{id, report});
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, SaveMachine& save) {
+    later(Seconds(between(0.01, 0.5)), [this, token, save] {
+      const bool ok = store_takes(token) && !chance(loss());
+      if (ok) machine_records_[save.record.id] = save.record;
+      if (auto* leader = process(token))
+        feed(*leader, MachineSaved{save.record.id, !save.record.endpoint.empty(), ok});
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, DeleteMachine& gone) {
+    later(Seconds(between(0.01, 0.5)), [this, token, gone] {
+      if (store_takes(token)) machine_records_.erase(gone.id);
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, SaveProgress& save) {
+    later(Seconds(between(0.01, 0.5)), [this, token, save] {
+      const bool ok = store_takes(token);
+      if (ok) progress_[{save.record.job, save.record.chunk}] = save.record;
+      // The answer may get lost although the write was made.
+      if (auto* leader = process(token)) feed(*leader, ProgressSaved{save, ok && !chance(loss())});
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, FinishJob& finish) {
+    later(Seconds(between(0.01, 2.0)), [this, token, finish] {
+      const auto job = jobs_.find(finish.job);
+      const bool ok = store_takes(token) && job != jobs_.end() &&
+                      job->second.record.revision == finish.revision;
+      if (!ok) {
+        if (auto* leader = process(token)) feed(*leader, FinishAnswered{finish.job, now_});
+        return;
+      }
+      // not_done: a job is reported done only after all of its tasks are.
+      for (TaskIndex i = 0; i < job->second.record.spec.tasks; ++i)
+        EXPECT_TRUE(completed_.contains({finish.job, i})) << "not_done " << finish.job << "/" << i;
+      EXPECT_FALSE(cancelled_.contains(finish.job)) << "went_back";
+      done_.insert(finish.job);
+      for (const auto chunk : finish.chunks) progress_.erase({finish.job, chunk});
+      close(finish.job);
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, DeleteProgress& gone) {
+    if (store_takes(token))
+      for (const auto chunk : gone.chunks) progress_.erase({gone.job, chunk});
+  }
+  void carry_out(LeaderProcess&, Token token, Rent& rent) {
+    later(Seconds(between(0.1, 0.6)), [this, token, rent] {
+      EXPECT_TRUE(rental_names_.insert(rent.name).second) << "a rental name was used twice";
+      RentalAnswer answer;
+      if (troubles_ && chance(0.15)) {
+        answer.kind = RentalAnswer::Kind::no_capacity;
+      } else if (workers_.size() < 14) {
+        answer.kind = RentalAnswer::Kind::rented;
+        const int count = troubles_ && chance(0.2) ? rent.count / 2 : rent.count;
+        for (int i = 0; i < std::min(count, 4); ++i) {
+          const double factor = troubles_ && chance(0.1) ? 50 : between(0.6, 1.5);
+          answer.machines.push_back(boot(rent.type, rent.zone, rent.spot,
+                                         now_ + to_duration(type(rent.type).boot * factor)));
+        }
+      } else {
+        answer.kind = RentalAnswer::Kind::no_capacity;
+      }
+      if (troubles_ && chance(0.05)) answer = RentalAnswer{};  // the answer was lost
+      if (auto* leader = process(token)) feed(*leader, RentalAnswered{rent.name, answer});
+    });
+  }
+  void carry_out(LeaderProcess& leader, Token token, Release& release) {
+    const bool ok = !leader.cut && !chance(loss() * 3);
+    later(Seconds(between(0.1, 0.5)), [this, token, release, ok] {
+      if (ok)
+        for (const auto& id : release.machines) workers_.erase(id);
+      if (auto* owner = process(token)) feed(*owner, ReleaseAnswered{release.machines, ok});
+    });
+  }
+  void carry_out(LeaderProcess&, Token token, Resign&) { resigning_ = token; }
+
+  MachineId boot(const std::string& type, const std::string& zone, bool spot, TimePoint up) {
+    char name[16];
+    std::snprintf(name, sizeof name, "m-%06d", ++machine_counter_);
+    auto& worker = workers_[name];
+    worker.id = name;
+    worker.type = type;
+    worker.zone = zone;
+    worker.spot = spot;
+    worker.up_at = up;
+    worker.answered_sent = up;
+    worker.next_report = up;
+    return name;
+  }
+
+  // --- workers
+  Resources used(const Worker& worker) const {
+    Resources total;
+    for (const auto& [key, task] : worker.tasks)
+      if (task.state != TaskState::exited) total += specs_.at(key.first.job).per_task;
+    return total;
+  }
+
+  void execute(Worker& worker, const Command& command) {
+    const std::pair key{command.task, command.attempt};
+    const auto known = worker.tasks.find(key);
+    if (command.verb == Verb::forget) {
+      if (known != worker.tasks.end() && known->second.state == TaskState::exited)
+        worker.tasks.erase(known);
+      return;
+    }
+    if (command.verb == Verb::stop) {
+      if (known != worker.tasks.end() && known->second.state != TaskState::exited)
+        stop(command, known->second);
+      return;
+    }
+    if (known != worker.tasks.end()) return;
+    const auto& spec = specs_.at(command.task.job);
+    LiveTask task;
+    task.attempt = command.attempt;
+    for (const auto& [other, live] : worker.tasks)
+      if (other.first == command.task && live.state != TaskState::exited)
+        exit(task, ExitCause::busy);
+    if (!(used(worker) + spec.per_task).fits_in(type(worker.type).capacity))
+      exit(task, ExitCause::no_room);
+    task.ready = now_ + to_duration(Seconds(worker.images.contains(spec.image) ? 0 : 2));
+    if (task.state != TaskState::exited) {
+      EXPECT_TRUE(allowed_on(spec, worker.type, worker.zone, worker.spot))
+          << "wrong_place " << command.task.job << "/" << command.task.index;
+    }
+    worker.tasks.emplace(key, task);
+  }
+
+  // A running task that saves needs `save_time` for it; a second stop without grace ends it.
+  void stop(const Command& command, LiveTask& task) {
+    const auto& spec = specs_.at(command.task.job);
+    const bool saves = task.state == TaskState::running && spec.checkpoint_every > Seconds(0) &&
+                       command.grace >= spec.save_time;
+    if (task.state == TaskState::saving && command.grace > Seconds(0)) return;
+    if (spec.shape == Shape::gang && task.state == TaskState::running) {
+      auto& run = gang_runs_[{command.task.job, command.attempt}];
+      if (!run.first_stop) {
+        run.first_stop = now_;
+        gang_saved_[command.task.job] += Seconds(now_ - run.began);
+      }
+      if (saves && now_ - *run.first_stop <= to_duration(kTimes.gang_peer)) ++run.told;
+    }
+    if (!saves) return exit(task, ExitCause::stopped);
+    task.state = TaskState::saving;
+    task.ends = now_ + to_duration(spec.save_time);
+    ++saves_;
+  }
+
+  void exit(LiveTask& task, ExitCause cause) {
+    task.state = TaskState::exited;
+    task.cause = cause;
+  }
+
+  void live(Worker& worker) {
+    if (worker.gone || now_ < worker.up_at) return;
+    if (worker.taken_at && now_ >= *worker.taken_at) {
+      worker.gone = true;
+      worker.tasks.clear();
+      return;
+    }
+    if (now_ - worker.answered_sent > to_duration(kTimes.lease)) {
+      ++worker.session;
+      worker.tasks.clear();
+      worker.answered_sent = now_;
+      worker.next_report = now_;
+    }
+    if (now_ < worker.hangs_until) return;
+    bool changed = false;
+    for (auto& [key, task] : worker.tasks) {
+      const auto& spec = specs_.at(key.first.job);
+      const bool gang = spec.shape == Shape::gang;
+      if (task.state == TaskState::saving && now_ >= task.ends) {
+        exit(task, ExitCause::stopped);
+        task.stored = !gang || gang_runs_[{key.first.job, key.second}].told == spec.tasks;
+        if (!gang) saved_[key.first] += Seconds(now_ - task.began);
+        if (gang && task.stored) stored_gangs_.insert(key.first.job);
+        changed = true;
+      }
+      if (task.state == TaskState::fetching && now_ >= task.ready) {
+        worker.images.insert(spec.image);
+        task.began = now_;
+        task.state = gang ? TaskState::waiting : TaskState::running;
+        if (gang && completed_.contains(key.first)) exit(task, ExitCause::done);
+        task.ends =
+            now_ + to_duration(completed_.contains(key.first) ? Seconds(0)
+                               : spec.shape == Shape::service
+                                   ? Seconds(1e6)
+                                   : std::max(Seconds(0.2), spec.estimate * between(0.5, 1.6) -
+                                                                saved_[key.first]));
+        changed = true;
+      }
+      if (task.state == TaskState::running && worker.sick) {
+        exit(task, ExitCause::error);
+        changed = true;
+      } else if (gang) {
+        continue;
+      } else if (task.state == TaskState::running && now_ >= task.ends) {
+        exit(task, ExitCause::done);
+        completed_.insert(key.first);
+        changed = true;
+      }
+    }
+    if (changed) worker.next_report = std::min(worker.next_report, now_ + milliseconds(300));
+    if (now_ >= worker.next_report) {
+      worker.next_report = now_ + to_duration(Seconds(between(2.2, 3.7)));
+      send_report(worker);
+    }
+  }
+
+  // Tasks of an attempt start together, complete together, and notice when one of them is gone.
+  void gangs() {
+    struct Member {
+      Worker* worker;
+      LiveTask* task;
+      TaskKey key;
+    };
+    std::map<std::pair<JobId, Attempt>, std::vector<Member>> members;
+    for (auto& [id, worker] : workers_)
+      if (!worker.gone && now_ >= worker.up_at)
+        for (auto& [key, task] : worker.tasks)
+          if (task.state != TaskState::exited && specs_.at(key.first.job).shape == Shape::gang)
+            members[{key.first.job, key.second}].push_back({&worker, &task, key.first});
+    for (auto& [name, all] : members) {
+      const auto& spec = specs_.at(name.first);
+      auto& run = gang_runs_[name];
+      const auto count = [&](TaskState state) {
+        return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const Member& m) {
+          return m.task->state == state && now_ >= m.worker->hangs_until;
+        }));
+      };
+      const auto leave = [&](const Member& member, ExitCause cause) {
+        if (now_ < member.worker->hangs_until) return;
+        exit(*member.task, cause);
+        member.worker->next_report = std::min(member.worker->next_report, now_ + milliseconds(300));
+      };
+      if (!run.running && count(TaskState::waiting) == spec.tasks) {
+        run.running = true;
+        run.began = now_;
+        auto run_time = spec.estimate * between(0.5, 1.6);
+        if (stored_gangs_.contains(name.first)) run_time -= gang_saved_[name.first];
+        run.ends = now_ + to_duration(std::max(Seconds(0.5), run_time));
+        ++gang_starts_;
+        for (auto& member : all) {
+          member.task->state = TaskState::running;
+          member.worker->next_report =
+              std::min(member.worker->next_report, now_ + milliseconds(300));
+        }
+      } else if (run.running && !run.broken &&
+                 count(TaskState::running) + count(TaskState::saving) < spec.tasks) {
+        run.broken = now_ + to_duration(Seconds(between(0.2, kTimes.gang_peer.count())));
+      }
+      for (auto& member : all) {
+        if (member.task->state == TaskState::waiting &&
+            now_ - member.task->began > to_duration(kTimes.gang_wait))
+          leave(member, ExitCause::incomplete);
+        if (member.task->state != TaskState::running) continue;
+        if (run.broken && now_ >= *run.broken) leave(member, ExitCause::peers_gone);
+        if (!run.broken && now_ >= run.ends && !run.first_stop) {
+          for (TaskIndex i = 0; i < spec.tasks; ++i) completed_.insert({name.first, i});
+          leave(member, ExitCause::done);
+        }
+      }
+    }
+  }
+
+  WorkerReport report_of(Worker& worker) {
+    WorkerReport report{worker.id,      "10.0.0.1:1",      worker.type,  worker.zone, worker.spot,
+                        worker.session, ++worker.sequence, worker.token, {},          {}};
+    if (worker.taken_at) report.notice = Seconds(*worker.taken_at - now_);
+    for (const auto& [key, task] : worker.tasks)
+      report.tasks.push_back({key.first, key.second, task.state, task.cause, task.stored});
+    return report;
+  }
+
+  void send_report(Worker& worker) {
+    const auto report = report_of(worker);
+    const auto sent = now_;
+    if (chance(loss())) {
+      // Held: it arrives late, and its answer is dropped.
+      later(Seconds(between(5, 40)), [this, report] {
+        if (leader_) feed(*leader_, MachineReported{report});
+      });
+      return;
+    }
+    later(Seconds(between(0.001, 0.1)), [this, report, sent, id = worker.id] {
+      auto* leader = stale_ && stale_->far_side.contains(id) ? stale_.get() : leader_.get();
+      if (leader == nullptr || !leader->leadership.may_serve(now_)) return;
+      feed(*leader, MachineReported{report});
+      const auto token = leader->token;
+      const auto commands =
+          report.token > token ? std::vector<Command>{} : leader->controller->response_commands(id);
+      if (chance(loss())) return;
+      later(Seconds(0.02), [this, id, sent, token, commands, session = report.session] {
+        const auto found = workers_.find(id);
+        if (found == workers_.end()) return;
+        auto& worker = found->second;
+        if (worker.gone || now_ < worker.hangs_until || worker.session != session ||
+            token < worker.token)
+          return;
+        if (token > worker.token) worker.next_report = std::min(worker.next_report, now_);
+        worker.token = token;
+        worker.answered_sent = std::max(worker.answered_sent, sent);
+        for (const auto& command : commands) execute(worker, command);
+      });
+    });
+  }
+
+  // --- users
+  void users() {
+    if (chance(submitting_ ? 0.025 : 0)) {
+      JobSpec spec;
+      spec.id = "req-" + std::to_string(++job_counter_);
+      spec.job_class = "c" + std::to_string(job_counter_ % 3);
+      spec.team = chance(0.5) ? "blue" : "red";
+      spec.priority = chance(0.3) ? Priority::high : Priority::normal;
+      spec.tasks = static_cast<TaskIndex>(between(1, 9));
+      spec.per_task =
+          chance(0.06) ? Resources{16, 0, 16} : Resources{chance(0.5) ? 1.0 : 4.0, 0, 2};
+      spec.image = "i" + std::to_string(job_counter_ % 4);
+      spec.image_gb = 1;
+      spec.spot_allowed = chance(0.7);
+      if (spec.per_task.cpus < 16 && chance(0.3)) spec.zone = chance(0.5) ? "a" : "b";
+      if (chance(0.2)) spec.types = {spec.per_task.cpus > 8 || chance(0.3) ? "large" : "small"};
+      if (!spec.types.empty() && spec.types[0] == "large") spec.zone.reset();
+      if (spec.types.empty() && !spec.zone && spec.per_task.cpus < 16) {
+        spec.same_zone = chance(0.2);
+        spec.spread = !spec.same_zone && chance(0.2);
+      }
+      spec.estimate = Seconds(between(2, 30));
+      if (!spec.same_zone && chance(0.1)) {
+        // Few and small enough that all of them fit at once, beside other work.
+        spec.shape = Shape::service;
+        spec.estimate = Seconds(0);
+        spec.tasks = static_cast<TaskIndex>(between(1, 4));
+        spec.per_task = {1, 0, 2};
+        spec.priority = Priority::production;
+        spec.types.clear();
+        spec.spread = !spec.zone && chance(0.7);
+        later(Seconds(between(60, 200)), [this, id = spec.id] {
+          if (submitting_ && jobs_.contains(id)) cancel(id);
+        });
+      }
+      if (spec.shape == Shape::array && chance(0.3)) {
+        spec.checkpoint_every = Seconds(5);
+        spec.save_time = Seconds(between(0.5, 3));
+      }
+      if (spec.shape == Shape::array && !spec.spread && chance(0.25)) {
+        spec.shape = Shape::gang;
+        const bool whole = chance(0.4);
+        spec.tasks = static_cast<TaskIndex>(between(1, whole ? 3.99 : 6));
+        spec.per_task = {whole ? 8.0 : chance(0.5) ? 2.0 : 4.0, 0, 2};
+        spec.types.clear();
+        spec.same_zone = chance(0.7);
+        spec.spread = !spec.same_zone && !spec.zone && chance(0.4);
+        spec.priority = Priority::high;
+      }
+      specs_[spec.id] = spec;
+      JobRecord record{spec,
+                       WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())),
+                       ++revision_};
+      jobs_[spec.id] = {record};
+      // The leader hears of it a little later, and only while it verifiably leads.
+      later(Seconds(between(0.01, 0.3)), [this, record] {
+        if (leader_ && jobs_.contains(record.spec.id)) feed(*leader_, JobOpened{record});
+      });
+    }
+    if (chance(0.003) && !jobs_.empty()) {
+      auto victim = jobs_.begin();
+      std::advance(victim, static_cast<long>(between(0, static_cast<double>(jobs_.size()) - 0.01)));
+      cancel(JobId(victim->first));
+    }
+  }
+
+  void cancel(const JobId& id) {
+    cancelled_[id] = now_;
+    close(id);
+  }
+
+  void close(const JobId& id) {
+    jobs_.erase(id);
+    ++revision_;
+    later(Seconds(between(0.01, 0.3)), [this, id] {
+      if (leader_) feed(*leader_, JobClosed{id});
+    });
+  }
+
+  // --- troubles
+  double loss() const { return troubles_ ? 0.03 : 0.0; }
+
+  void trouble() {
+    if (leader_ && chance(0.0015)) lead_no_more();  // crash
+    if (leader_ && !stale_ && chance(0.0008)) {
+      // Cut off from the store with some of the workers; it goes on for as long as it may.
+      if (believes_) believed_ = leader_->controller->beliefs(now_, wall_now());
+      stale_ = std::move(leader_);
+      stale_->cut = true;
+      for (const auto& [id, worker] : workers_)
+        if (chance(0.5)) stale_->far_side.insert(id);
+      lead_no_more();
+      later(Seconds(between(5, 45)), [this] { stale_.reset(); });
+    }
+    for (auto& [id, worker] : workers_) {
+      if (chance(0.0002)) worker.hangs_until = now_ + to_duration(Seconds(between(1, 40)));
+      if (chance(0.0001)) worker.gone = true, worker.tasks.clear();
+      if (chance(0.0001)) worker.sick = true;
+      if (worker.spot && !worker.taken_at && chance(0.0003))
+        worker.taken_at = now_ + to_duration(Seconds(between(4, 12)));
+    }
+    if (workers_.empty() || (!leader_ && workers_.size() < 2)) boot("small", "a", true, now_);
+  }
+
+  // --- the rules
+  void check() {
+    std::map<TaskKey, MachineId> live;
+    std::map<std::string, double> team_cpus;
+    for (const auto& [id, worker] : workers_) {
+      if (worker.gone) continue;
+      for (const auto& [key, task] : worker.tasks) {
+        if (task.state == TaskState::exited) continue;
+        const auto& spec = specs_.at(key.first.job);
+        const auto [other, only] = live.emplace(key.first, id);
+        ASSERT_TRUE(only) << "ran_twice " << key.first.job << "/" << key.first.index << " on "
+                          << other->second << " and " << id;
+        team_cpus[spec.team] += spec.per_task.cpus;
+        const auto cancelled = cancelled_.find(key.first.job);
+        if (cancelled != cancelled_.end() && now_ >= worker.hangs_until) {
+          ASSERT_LE(Seconds(now_ - cancelled->second), kTimes.cancel + Seconds(0.2))
+              << "ran_cancelled " << key.first.job;
+        }
+      }
+    }
+    std::map<JobId, std::map<std::string, TaskIndex>> zones;
+    for (const auto& [key, machine] : live) ++zones[key.job][workers_.at(machine).zone];
+    for (const auto& [job, counts] : zones) {
+      const auto& spec = specs_.at(job);
+      if (spec.same_zone) {
+        ASSERT_EQ(counts.size(), 1U) << "wrong_place: same zone " << job;
+      }
+      for (const auto& [zone, count] : counts)
+        if (spec.spread) {
+          ASSERT_LE(count, (spec.tasks + 1) / 2) << "wrong_place: spread " << job;
+        }
+    }
+    for (const auto& team : teams_)
+      ASSERT_LE(team_cpus[team.name], team.max_cpus + 1e-6) << "quota " << team.name;
+  }
+
+ public:
+  void stop_submitting() { submitting_ = false; }
+
+ private:
+  std::mt19937_64 random_;
+  TimePoint now_{};
+  std::multimap<TimePoint, std::function<void()>> events_;
+  bool troubles_ = true;
+  bool submitting_ = true;
+  std::vector<MachineType> types_;
+  std::vector<Team> teams_;
+  std::map<MachineId, Worker> workers_;
+  int machine_counter_ = 0;
+  int job_counter_ = 0;
+  std::unique_ptr<LeaderProcess> leader_;
+  std::unique_ptr<LeaderProcess> stale_;
+  TimePoint next_takeover_{};
+  Token resigning_ = 0;
+  std::size_t takeovers_ = 0;
+
+  Revision revision_ = 0;
+  Token leader_token_ = 0;
+  std::map<JobId, StoredJob> jobs_;
+  std::map<JobId, JobSpec> specs_;
+  std::map<MachineId, MachineRecord> machine_records_;
+  std::map<std::pair<JobId, TaskIndex>, ProgressRecord> progress_;
+  std::set<TaskKey> completed_;
+  std::set<JobId> done_;
+  std::map<JobId, TimePoint> cancelled_;
+  std::set<std::string> rental_names_;
+  std::map<std::pair<JobId, Attempt>, GangRun> gang_runs_;
+  std::map<JobId, Seconds> gang_saved_;
+  std::set<JobId> stored_gangs_;
+  std::map<TaskKey, Seconds> saved_;
+  std::size_t gang_starts_ = 0;
+  std::size_t saves_ = 0;
+  history::Digest actions_digest_;
+  Watcher watcher_;
+  bool believes_ = false;
+  Beliefs believed_;
+};
+
+}  // namespace violetpulley::core::simulated
