--- /dev/null
+++ b/bench/history_bench.cpp
@@ -0,0 +1,330 @@
+// What a history costs and what it saves (docs/history.md has the figures). Outside CI:
+//   cmake --build build --target violetpulley_history_bench && build/bench/violetpulley_history_bench
+//
+// A yard of workers that do at once what they are told stands in for a deployment; it has no
+// troubles, since what counts here is size.
+#include <sys/resource.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "history/event_log.hpp"
+
+namespace violetpulley {
+namespace {
+
+using core::Seconds;
+using core::TimePoint;
+using history::Acted;
+using history::Record;
+using std::chrono::milliseconds;
+
+double cpu_now() {
+  timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+double resident_mb() {
+  std::ifstream status("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  status >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+// Called with each record, when the controller holds it; `between`: actions were just taken.
+using Sink = std::function<void(const Record&, const core::Controller&, bool between)>;
+
+class Yard {
+ public:
+  Yard(int machines, core::TaskIndex tasks_a_machine, Sink sink)
+      : tasks_a_machine_(tasks_a_machine), sink_(std::move(sink)) {
+    origin_.token = 7;
+    origin_.settings.teams = {{"t", 0, 0, 0, 0}};
+    origin_.settings.cloud_calls_per_s = 3;
+    origin_.older_leases_end = now_ + std::chrono::seconds(60);
+    for (int i = 0; i < machines; ++i) {
+      char name[16];
+      std::snprintf(name, sizeof name, "m-%06d", i);
+      origin_.inheritance.machines.push_back({name, "10.0.0.1:1", "big", i % 2 ? "a" : "b", true, {}});
+      auto& worker = workers_[name];
+      worker.report = {name, "10.0.0.1:1", "big", i % 2 ? "a" : "b", true, 1, 0, 7, {}, {}};
+      worker.next = now_ + milliseconds(i * 6000 / machines);
+    }
+    controller_ = core::make_controller(origin_, now_);
+    taken_over_at_ = now_;
+    sink_({7, now_, core::Event(origin_)}, *controller_, false);
+    feed(core::CatalogKnown{{{"big", {64, 0, 512}, 60, 1, 3.7, 1.1, Seconds(20), {"a", "b"}}}});
+  }
+
+  // Runs until so many records were written.
+  void run(std::uint64_t records) {
+    while (written_ < records) step();
+  }
+  void run_for(Seconds length) {
+    const auto end = now_ + core::to_duration(length);
+    while (now_ < end) step();
+  }
+  const core::TakenOver& origin() const { return origin_; }
+  TimePoint taken_over_at() const { return taken_over_at_; }
+  std::uint64_t written() const { return written_; }
+  std::uint64_t jobs_done() const { return jobs_done_; }
+  std::size_t tasks_on_machines() const {
+    std::size_t sum = 0;
+    for (const auto& [id, machine] : controller_->fleet().all()) sum += machine.tasks.size();
+    return sum;
+  }
+
+ private:
+  struct Worker {
+    core::WorkerReport report;
+    std::map<core::TaskKey, TimePoint> ends;
+    TimePoint next{};
+  };
+
+  void feed(core::Event event) {
+    core::apply(*controller_, event, now_);
+    ++written_;
+    sink_({7, now_, std::move(event)}, *controller_, false);
+  }
+
+  void step() {
+    now_ += milliseconds(100);
+    const auto room = workers_.size() * tasks_a_machine_;
+    while (open_tasks_ < room) submit();
+    for (auto& [id, worker] : workers_)
+      if (now_ >= worker.next) {
+        worker.next = now_ + std::chrono::seconds(6);
+        report(worker);
+      }
+    feed(core::Ticked{true});
+    const auto actions = controller_->take_actions();
+    if (actions.empty()) return;
+    ++written_;
+    sink_({7, now_, Acted{history::digest_of(actions)}}, *controller_, true);
+    for (const auto& action : actions)
+      std::visit([&](const auto& a) { carry_out(a); }, action);
+  }
+
+  void submit() {
+    core::JobRecord record;
+    char name[16];
+    std::snprintf(name, sizeof name, "req-%06d", ++jobs_);
+    record.spec.id = name;
+    record.spec.job_class = "tiles";
+    record.spec.team = "t";
+    record.spec.tasks = 200;
+    record.spec.per_task = {1, 0, 4};
+    record.spec.image = "i" + std::to_string(jobs_ % 8);
+    record.spec.image_gb = 1;
+    record.spec.spot_allowed = true;
+    record.spec.estimate = Seconds(50 + jobs_ % 20);
+    record.revision = 100 + static_cast<core::Revision>(jobs_);
+    open_tasks_ += record.spec.tasks;
+    feed(core::JobOpened{record});
+  }
+  void report(Worker& worker) {
+    for (auto& task : worker.report.tasks) {
+      if (task.state == core::TaskState::fetching) task.state = core::TaskState::running;
+      if (task.state == core::TaskState::running && now_ >= worker.ends[task.task]) {
+        task.state = core::TaskState::exited;
+        task.cause = core::ExitCause::done;
+      }
+    }
+    ++worker.report.sequence;
+    feed(core::MachineReported{worker.report});
+  }
+  void carry_out(const core::SendOrders& orders) {
+    auto& worker = workers_.at(orders.machine);
+    for (const auto& command : orders.commands) {
+      auto& tasks = worker.report.tasks;
+      const auto same = [&](const core::TaskReport& task) { return task.attempt == command.attempt; };
+      if (command.verb == core::Verb::start &&
+          std::none_of(tasks.begin(), tasks.end(), same)) {
+        tasks.push_back({command.task, command.attempt, core::TaskState::running, {}, false});
+        worker.ends[command.task] = now_ + std::chrono::seconds(60);
+      } else if (command.verb == core::Verb::forget) {
+        std::erase_if(tasks, same);
+        worker.ends.erase(command.task);
+      }
+    }
+    ++worker.report.sequence;
+    feed(core::OrdersAnswered{orders.machine, worker.report});
+  }
+  void carry_out(const core::SaveMachine& save) {
+    feed(core::MachineSaved{save.record.id, true, true});
+  }
+  void carry_out(const core::SaveProgress& save) { feed(core::ProgressSaved{save, true}); }
+  void carry_out(const core::FinishJob& finish) {
+    open_tasks_ -= 200;
+    ++jobs_done_;
+    feed(core::JobClosed{finish.job});
+  }
+  template <class Other>
+  void carry_out(const Other&) {}
+
+  core::TaskIndex tasks_a_machine_;
+  Sink sink_;
+  TimePoint now_{std::chrono::hours(1)};
+  TimePoint taken_over_at_{};
+  core::TakenOver origin_;
+  std::map<core::MachineId, Worker> workers_;
+  std::unique_ptr<core::Controller> controller_;
+  std::uint64_t written_ = 0;
+  std::uint64_t jobs_done_ = 0;
+  std::size_t open_tasks_ = 0;
+  int jobs_ = 0;
+};
+
+std::string fresh_directory() {
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("violetpulley-history-bench-" + std::to_string(getpid()));
+  std::filesystem::remove_all(path);
+  return path.string();
+}
+
+std::uint64_t size_of(const std::string& path) {
+  std::uint64_t sum = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(path)) sum += entry.file_size();
+  return sum;
+}
+
+// Records straight into a log, with or without saves.
+class Recorder {
+ public:
+  Recorder(const std::string& path, std::optional<history::Key> key, bool saves)
+      : files_(path, true), saves_(saves) {
+    history::LogSettings settings;
+    settings.save_every = Seconds(30);
+    log_ = std::make_unique<history::EventLog>(files_, key, settings, history::Contents{}, "bench",
+                                               core::WallTime{});
+  }
+  void operator()(const Record& record, const core::Controller& controller, bool between,
+                  const core::TakenOver& origin, TimePoint taken_over_at) {
+    if (const auto* event = std::get_if<core::Event>(&record.what))
+      log_->record(record.token, record.at, *event);
+    else
+      log_->acted(record.token, record.at, std::get<Acted>(record.what).digest);
+    if (!between) return;
+    log_->flush(record.at);
+    if (!saves_) return;
+    const auto begun = cpu_now();
+    if (log_->saving())
+      log_->continue_save();
+    else if (log_->save_due(record.at))
+      log_->begin_save(controller, origin, taken_over_at, record.at, core::WallTime{});
+    else
+      return;
+    const auto took = cpu_now() - begun;
+    saving_ += took;
+    longest_ = std::max(longest_, took);
+  }
+  double longest_slice() const { return longest_; }
+  double saving() const { return saving_; }
+  std::uint64_t saves() const { return log_->saves_made(); }
+
+ private:
+  history::Directory files_;
+  bool saves_;
+  std::unique_ptr<history::EventLog> log_;
+  double longest_ = 0;
+  double saving_ = 0;
+};
+
+// Recovery time and memory by the length of the history.
+void recovery(bool saves) {
+  for (const std::uint64_t records : {1'000U, 10'000U, 100'000U, 1'000'000U}) {
+    const auto path = fresh_directory();
+    std::uint64_t jobs = 0;
+    {
+      Recorder recorder(path, std::nullopt, saves);
+      Yard* yard_at = nullptr;
+      Yard yard(50, 10, [&](const Record& record, const core::Controller& controller, bool between) {
+        if (yard_at != nullptr)
+          recorder(record, controller, between, yard_at->origin(), yard_at->taken_over_at());
+        else
+          recorder(record, controller, between, {}, {});
+      });
+      yard_at = &yard;
+      yard.run(records);
+      jobs = yard.jobs_done();
+    }
+    const auto bytes = size_of(path);
+    const auto before = resident_mb();
+    const auto begun = cpu_now();
+    history::Directory files(path, false);
+    history::Replay replay;
+    const auto contents = history::Reader(files, {}).recover(replay, [](const history::Damaged&) {});
+    std::printf("recovery %s: %8llu records, %8.1f MB on disk, %6.3f s, %6.1f MB more memory, %llu jobs\n",
+                saves ? "with saves   " : "without saves",
+                static_cast<unsigned long long>(contents.events()), static_cast<double>(bytes) / 1e6,
+                cpu_now() - begun, resident_mb() - before, static_cast<unsigned long long>(jobs));
+    std::filesystem::remove_all(path);
+  }
+}
+
+// The same events with the history off and on, at the size of the largest deployment.
+void cost(int machines, core::TaskIndex tasks, Seconds length, std::optional<history::Key> key) {
+  double spent[2] = {0, 0};
+  std::uint64_t records = 0;
+  std::uint64_t jobs = 0;
+  std::uint64_t bytes = 0;
+  std::size_t on_machines = 0;
+  double longest = 0;
+  double saving = 0;
+  std::uint64_t saves = 0;
+  for (const bool on : {false, true}) {
+    const auto path = fresh_directory();
+    std::unique_ptr<Recorder> recorder;
+    if (on) recorder = std::make_unique<Recorder>(path, key, true);
+    Yard* yard_at = nullptr;
+    Yard yard(machines, tasks,
+              [&](const Record& record, const core::Controller& controller, bool between) {
+                static const core::TakenOver none;
+                if (recorder)
+                  (*recorder)(record, controller, between,
+                              yard_at != nullptr ? yard_at->origin() : none,
+                              yard_at != nullptr ? yard_at->taken_over_at() : TimePoint{});
+              });
+    yard_at = &yard;
+    const auto begun = cpu_now();
+    yard.run_for(length);
+    spent[on ? 1 : 0] = cpu_now() - begun;
+    records = yard.written();
+    jobs = yard.jobs_done();
+    on_machines = yard.tasks_on_machines();
+    if (recorder) {
+      longest = recorder->longest_slice();
+      saving = recorder->saving();
+      saves = recorder->saves();
+      bytes = size_of(path);
+    }
+    std::filesystem::remove_all(path);
+  }
+  std::printf(
+      "cost at %d machines, %zu tasks on them, %s: %llu records, %llu jobs; off %.2f us, on %.2f us "
+      "a record (+%.1f%%), of it saves %.2f us; %llu saves, longest slice %.1f ms; %.1f MB kept\n",
+      machines, on_machines, key ? "signed" : "unsigned", static_cast<unsigned long long>(records),
+      static_cast<unsigned long long>(jobs), spent[0] / static_cast<double>(records) * 1e6,
+      spent[1] / static_cast<double>(records) * 1e6, (spent[1] / spent[0] - 1) * 100,
+      saving / static_cast<double>(records) * 1e6, static_cast<unsigned long long>(saves),
+      longest * 1e3, static_cast<double>(bytes) / 1e6);
+}
+
+}  // namespace
+}  // namespace violetpulley
+
+int main() {
+  using namespace violetpulley;
+  const auto key = history::parse_key(std::string(64, '5'));
+  cost(1700, 59, core::Seconds(120), std::nullopt);
+  cost(1700, 59, core::Seconds(120), key);
+  cost(1700, 6, core::Seconds(120), std::nullopt);
+  recovery(true);
+  recovery(false);
+}
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -75,6 +75,7 @@
   const Estimator& estimator() const { return estimator_; }
   const Market& market() const { return market_; }
   bool recovering() const { return recovery_.recovering(); }
+  const RecoveryCost& recovery_cost() const { return recovery_.cost(); }
   // Machines looked at so far, each time counted; tests hold it against the events.
   std::uint64_t looks() const { return out_.looks(); }
   std::string summary() const;
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -307,6 +307,15 @@
   if (keeper_ != nullptr) keeper_->acted(now, actions);
   for (auto& action : actions) carry_out(action);
   writer_.flush(now);
+  if (!recovered_ && !controller_->recovering()) {
+    recovered_ = true;
+    const auto& cost = controller_->recovery_cost();
+    spdlog::info(
+        "recovered {:.1f} s after the key; held up beside free room: {:.0f} task-seconds of "
+        "arrays, {:.0f} of gangs, {:.0f} of replicas",
+        core::Seconds(now - won_at_).count(), cost.arrays.count(), cost.gangs.count(),
+        cost.replicas.count());
+  }
   keep_history(now);
 }
 
--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -82,6 +82,7 @@
   std::map<core::JobId, core::JobRecord> unverified_;
   bool verifying_ = false;
   bool pump_posted_ = false;
+  bool recovered_ = false;  // and said so
   core::TimePoint last_list_{};
   core::TimePoint last_summary_{};
   bool listing_ = false;
