A controller that gave up as deaf stays when it leads again

Change: a controller that gave up for that within the last three minutes does not do so again: if the others heard nothing either, the machines are gone.

--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -29,10 +29,8 @@
        [&out](const YAML::Node& node, const std::string& name) {
          out.quarantine_errors = static_cast<int>(number(node, name, {1, 1000}));
        }},
-      {"commit_starts",
-       [&out](const YAML::Node& node, const std::string& name) {
-         out.commit_starts = flag(node, name);
-       }},
+      {"commit_starts", [&out](const YAML::Node& node,
+                               const std::string& name) { out.commit_starts = flag(node, name); }},
       {"bound_tasks_may_move",
        [&out](const YAML::Node& node, const std::string& name) {
          out.bound_tasks_may_move = flag(node, name);
--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -68,12 +68,12 @@
     f(s.record, s.tasks_in_chunk);
   }
 };
-// Where the tasks of a gang or a service may be: written before a start is sent, so that a new leader
-// knows which machines to wait for (docs/safety.md, "Committed starts").
+// Where the tasks of a gang or a service may be: written before a start is sent, so that a new
+// leader knows which machines to wait for (docs/safety.md, "Committed starts").
 struct PlacementRecord {
   JobId job;
   std::vector<MachineId> machines;  // by task; empty: was never started
-  bool known = true;  // false: too many to write down, the job may be anywhere
+  bool known = true;                // false: too many to write down, the job may be anywhere
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
@@ -134,9 +134,10 @@
 };
 struct Resign {
   std::string cause;
+  bool deaf = false;  // no machine is heard from: another controller may hear them
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.cause);
+    f(s.cause, s.deaf);
   }
 };
 
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -65,8 +65,8 @@
   void release_answered(const std::vector<MachineId>& machines, bool ok, TimePoint now);
   void cloud_listed(const std::vector<ListedMachine>& machines, TimePoint now);
 
-  // Deadlines, placing and scaling. `may_place`: leadership may still be served. `proved`: the latest
-  // time of which it is known that nobody else led then (Leadership::contact).
+  // Deadlines, placing and scaling. `may_place`: leadership may still be served. `proved`: the
+  // latest time of which it is known that nobody else led then (Leadership::contact).
   void tick(TimePoint now, bool may_place, TimePoint proved);
   std::vector<Action> take_actions() { return out_.take(); }
   bool placing_wanted() const { return out_.placing_wanted(); }
--- a/src/core/events.cpp
+++ b/src/core/events.cpp
@@ -7,20 +7,10 @@
 namespace violetpulley::core {
 
 const char* name_of(const Event& event) {
-  static constexpr std::array kNames{"takeover",
-                                     "catalog",
-                                     "job opened",
-                                     "job closed",
-                                     "report",
-                                     "orders answered",
-                                     "machine saved",
-                                     "progress saved",
-                                     "finish answered",
-                                     "rental answered",
-                                     "release answered",
-                                     "machines listed",
-                                     "tick",
-                                     "placements saved"};
+  static constexpr std::array kNames{
+      "takeover",         "catalog",         "job opened",     "job closed",      "report",
+      "orders answered",  "machine saved",   "progress saved", "finish answered", "rental answered",
+      "release answered", "machines listed", "tick",           "placements saved"};
   static_assert(kNames.size() == std::variant_size_v<Event>);
   return kNames[event.index()];
 }
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -33,7 +33,8 @@
   bool preempted = false;  // stopped to make room for others
   Seconds grace{0};        // for saving, when it is stopped
   std::optional<TimePoint> stop_since;
-  std::uint64_t record = 0;  // version of its job's placements that must be committed before it is sent
+  std::uint64_t record =
+      0;  // version of its job's placements that must be committed before it is sent
   template <class S, class F>
   static void fields(S& s, F&& f) {
     f(s.attempt, s.resources, s.team, s.job_class, s.image, s.shape, s.estimate, s.saved, s.fetch,
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -42,7 +42,7 @@
   Attempt attempt = 0;  // of a gang whose tasks are on machines: they share it
   // Where each task was last started, as recorded or about to be; empty if nothing is recorded.
   std::vector<MachineId> placed;
-  bool placed_known = false;        // what an older leader recorded is all that there is
+  bool placed_known = false;         // what an older leader recorded is all that there is
   std::uint64_t placed_version = 0;  // of the newest record asked for
   std::uint64_t placed_saved = 0;    // of the newest record that is committed
 
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -146,8 +146,8 @@
   for (const auto& id : placed_dirty_) {
     const auto& job = jobs_.at(id);
     const bool known = job.placed.size() <= kMostPlacements;
-    out_.push_back(SavePlacements{
-        {id, known ? job.placed : std::vector<MachineId>{}, known}, job.placed_version});
+    out_.push_back(SavePlacements{{id, known ? job.placed : std::vector<MachineId>{}, known},
+                                  job.placed_version});
   }
   placed_dirty_.clear();
   if (mark_ != Mark::writing) return;
--- a/src/core/machine_watch.cpp
+++ b/src/core/machine_watch.cpp
@@ -65,9 +65,9 @@
             recovery_.waits_for(id) ? tuning.lost_after_takeover : tuning.lost_after;
         if (quiet > to_duration(patience) && heard_from_most) want_release(machine, "silent", now);
         // The lease of a machine that answers nothing has run out, and its tasks with it, unless a
-        // newer leader renews it: one that is cut off and does not know yet that it was followed would
-        // start them again (seed 1684 of the simulation). So nobody else may have led by the time at
-        // which the lease ends.
+        // newer leader renews it: one that is cut off and does not know yet that it was followed
+        // would start them again (seed 1684 of the simulation). So nobody else may have led by the
+        // time at which the lease ends.
         const auto lease_end = settings_.workers.lease * 1.001 + Seconds(1);
         if (machine.confirmed && proved - last > to_duration(lease_end) && !machine.tasks.empty())
           assignments_.lose_all(machine, now);
@@ -84,8 +84,9 @@
     }
   }
   release_machines(now);
-  if (up >= 2 && silent == up && now - takeover_ > to_duration(tuning.silent_after * 1.5))
-    out_.push_back(Resign{"no machine is heard from"});
+  if (settings_.resigns_when_deaf && up >= 2 && silent == up &&
+      now - takeover_ > to_duration(tuning.silent_after * 1.5))
+    out_.push_back(Resign{"no machine is heard from", true});
   registry_.forget_old(now);
   return true;
 }
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -28,9 +28,8 @@
 
 // Replicas that may start now.
 TaskIndex Preemption::waiting_of(const Job& job) const {
-  return static_cast<TaskIndex>(
-      std::count_if(job.waiting.begin(), job.waiting.end(),
-                    [&](TaskIndex i) { return !starts_.held(job, i); }));
+  return static_cast<TaskIndex>(std::count_if(job.waiting.begin(), job.waiting.end(),
+                                              [&](TaskIndex i) { return !starts_.held(job, i); }));
 }
 
 // Replicas that found no place get that of another task, at once and without a save: users wait.
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -45,9 +45,8 @@
 std::size_t Recovery::held(const Job& job) const {
   if (!recovering_ || !job.carried_over) return 0;
   if (!job.placed_known || job.gang()) return unaccounted(job) ? job.waiting.size() : 0;
-  return static_cast<std::size_t>(
-      std::count_if(job.waiting.begin(), job.waiting.end(),
-                    [&](TaskIndex i) { return held(job, i); }));
+  return static_cast<std::size_t>(std::count_if(job.waiting.begin(), job.waiting.end(),
+                                                [&](TaskIndex i) { return held(job, i); }));
 }
 
 // What may be on machines beyond what is known: on a machine that has not answered yet, as much as
--- a/src/core/recovery.hpp
+++ b/src/core/recovery.hpp
@@ -41,7 +41,8 @@
   bool waits_for(const MachineId& id) const { return unconfirmed_.contains(id); }
   std::size_t waiting() const { return unconfirmed_.size(); }
 
-  // `proved`: nobody else led by then. A newer leader may renew leases that ran out under older ones.
+  // `proved`: nobody else led by then. A newer leader may renew leases that ran out under older
+  // ones.
   void check(TimePoint proved);
   bool recovering() const { return recovering_; }
   // Whether any task of this job that was seen nowhere may be on a machine that has not answered.
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -12,7 +12,7 @@
 
 void Reports::report(const WorkerReport& report, TimePoint now) {
   if (report.token > token_) {
-    out_.push_back(Resign{"worker " + report.machine + " has seen a higher token"});
+    out_.push_back(Resign{"worker " + report.machine + " has seen a higher token", false});
     return;
   }
   auto* known = fleet_.find(report.machine);
--- a/src/core/settings.hpp
+++ b/src/core/settings.hpp
@@ -41,11 +41,14 @@
   std::vector<FinishAim> aims;
   std::vector<LateAim> late_aims;
   WallTime wall_at_start{};  // the time of day that belongs to the start's steady time
+  // Off for one that gave up for that lately: if the others heard nothing either, the machines are
+  // gone, and somebody has to wait until their leases have run out.
+  bool resigns_when_deaf = true;
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
     f(s.teams, s.workers, s.tuning, s.cloud_calls_per_s, s.list_lag, s.aims, s.late_aims,
-      s.wall_at_start);
+      s.wall_at_start, s.resigns_when_deaf);
   }
 };
 
--- a/src/core/types.hpp
+++ b/src/core/types.hpp
@@ -240,7 +240,8 @@
   static void fields(S& s, F&& f) {
     f(s.bin_unit, s.round, s.quick_round, s.clearing_wait, s.clearing_use, s.idle_wait,
       s.boot_late_factor, s.refused_rest, s.silent_after, s.lost_after, s.lost_after_takeover,
-      s.bound_tasks_may_move, s.quarantine_errors, s.dear_patience, s.dear_idle_wait, s.commit_starts);
+      s.bound_tasks_may_move, s.quarantine_errors, s.dear_patience, s.dear_idle_wait,
+      s.commit_starts);
   }
 };
 
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr milliseconds kTick{100};
+constexpr std::chrono::minutes kDeafRemembered{3};
 constexpr std::chrono::seconds kListEvery{10};
 constexpr double kCloudCalls = 0.8;  // of the limit; the rest is for the list and the catalog
 
@@ -133,7 +134,8 @@
 Leader::Leader(asio::io_context& io, const config::Settings& settings, const core::Tuning& tuning,
                core::Leadership& leadership, store::Election& election, store::StoreClient& store,
                store::JobMirror& mirror, cloud::CloudClient& cloud,
-               const config::HistorySettings& history, history::Keeper* keeper)
+               const config::HistorySettings& history, history::Keeper* keeper,
+               std::optional<core::TimePoint>& deaf_at)
     : io_(io),
       settings_(settings),
       tuning_(tuning),
@@ -144,6 +146,7 @@
       cloud_(cloud),
       token_(leadership.token()),
       won_at_(Clock::now()),
+      deaf_at_(deaf_at),
       keeper_(keeper),
       writer_(store, token_, settings.state_changes_per_transaction, page_bytes(settings)),
       orders_(io, token_, most_order_lines(settings),
@@ -253,8 +256,7 @@
 void Leader::load_mark() {
   store_.get(kPlacementsMark, Urgency::safety, [this, alive = alive_](store::GetResult result) {
     if (!*alive) return;
-    if (result.outcome != Outcome::ok && result.outcome != Outcome::not_found)
-      return load_again();
+    if (result.outcome != Outcome::ok && result.outcome != Outcome::not_found) return load_again();
     const bool marked = result.outcome == Outcome::ok;
     if (marked && !tuning_.commit_starts) return clear_mark();
     inheritance_.placements_marked = marked;
@@ -317,7 +319,8 @@
                                       settings_.cloud_list_lag,
                                       {},
                                       {},
-                                      wall_now()};
+                                      wall_now(),
+                                      !deaf_at_ || Clock::now() - *deaf_at_ > kDeafRemembered};
   for (const auto& objective : settings_.objectives) {
     if (objective.kind == "finished")
       controller.aims.push_back({objective.job_class, objective.within});
@@ -569,6 +572,7 @@
         pump_soon();
       });
     } else if constexpr (std::is_same_v<T, core::Resign>) {
+      if (a.deaf) deaf_at_ = Clock::now();
       asio::post(io_, [this, alive = alive_, cause = a.cause] {
         if (*alive) election_.resign(cause, std::chrono::seconds(8));
       });
--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -21,7 +21,8 @@
   Leader(asio::io_context& io, const config::Settings& settings, const core::Tuning& tuning,
          core::Leadership& leadership, store::Election& election, store::StoreClient& store,
          store::JobMirror& mirror, cloud::CloudClient& cloud,
-         const config::HistorySettings& history, history::Keeper* keeper);
+         const config::HistorySettings& history, history::Keeper* keeper,
+         std::optional<core::TimePoint>& deaf_at);
   ~Leader();
   Leader(const Leader&) = delete;
   Leader& operator=(const Leader&) = delete;
@@ -73,7 +74,8 @@
   core::Token token_;
   core::TimePoint won_at_;
 
-  history::Keeper* keeper_;  // null: no directory keeps the history
+  std::optional<core::TimePoint>& deaf_at_;  // when a leader of this process last gave up as deaf
+  history::Keeper* keeper_;                  // null: no directory keeps the history
   store::LeaderWriter writer_;
   std::unique_ptr<store::BeliefStore> beliefs_;  // null: the state service keeps none
   agent::OrdersSender orders_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -97,7 +97,7 @@
   store_.set_share(share(true));
   mirror_.set_watch_gap(kLeaderWatchGap);
   leader_ = std::make_unique<Leader>(io_, settings_, tuning_, leadership_, election_, store_,
-                                     mirror_, cloud_, history_, keeper_.get());
+                                     mirror_, cloud_, history_, keeper_.get(), deaf_at_);
   if (!types_.empty()) leader_->set_catalog(types_);
   fetch_catalog_later(milliseconds(500));
 }
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -49,6 +49,7 @@
   store::Election election_;
   cloud::CloudClient cloud_;
   api::UserApi users_;
+  std::optional<core::TimePoint> deaf_at_;  // before the leader, which refers to it
   std::unique_ptr<Leader> leader_;
   asio::steady_timer second_timer_;
   asio::steady_timer catalog_timer_;
--- a/tests/together_test.cpp
+++ b/tests/together_test.cpp
@@ -17,9 +17,10 @@
     take_over({});
   }
   void take_over(Inheritance inheritance) {
-    ControllerSettings settings{{team_}, WorkerTimes{}, Tuning{}, 10.0, Seconds(10), {}, {{"c", 1.75}}, {}};
-    controller_ = std::make_unique<Controller>(
-        settings, 5, now_, now_ + std::chrono::seconds(60), std::move(inheritance));
+    ControllerSettings settings{{team_}, WorkerTimes{}, Tuning{}, 10.0, Seconds(10),
+                                {},      {{"c", 1.75}}, {}};
+    controller_ = std::make_unique<Controller>(settings, 5, now_, now_ + std::chrono::seconds(60),
+                                               std::move(inheritance));
     controller_->set_catalog({{"g4", {32, 4, 256}, 50, 1, 10.0, 4.0, Seconds(25), zones_}});
   }
 
@@ -104,9 +105,9 @@
     auto& worker = workers_.at(orders.machine);
     for (const auto& command : orders.commands) {
       const auto known =
-          std::find_if(worker.tasks.begin(), worker.tasks.end(),
-                       [&](const TaskReport& t) { return t.attempt == command.attempt &&
-                                                         t.task == command.task; });
+          std::find_if(worker.tasks.begin(), worker.tasks.end(), [&](const TaskReport& t) {
+            return t.attempt == command.attempt && t.task == command.task;
+          });
       if (command.verb == Verb::start && known == worker.tasks.end())
         worker.tasks.push_back({command.task, command.attempt, TaskState::fetching});
       if (command.verb == Verb::forget && known != worker.tasks.end()) worker.tasks.erase(known);
@@ -255,7 +256,8 @@
   EXPECT_TRUE(desk.commands(Verb::start).empty());
 }
 
-// A replica comes before an array of lower priority that took its room, and takes no more than that.
+// A replica comes before an array of lower priority that took its room, and takes no more than
+// that.
 TEST(Preemption, AReplicaTakesThePlaceOfOneTaskOnly) {
   Desk desk({"a"});
   auto filler = Desk::spec(Shape::array, 4, kQuarter);
@@ -274,8 +276,8 @@
   EXPECT_EQ(stopped.begin()->job, "req-2");
 }
 
-// Found in bursts of rough days: an array past its deadline fell behind all hope, although an aim for
-// being little late was still to be met.
+// Found in bursts of rough days: an array past its deadline fell behind all hope, although an aim
+// for being little late was still to be met.
 TEST(Queue, WhatCanStillBeLittleLateComesBeforeWhatIsLost) {
   Desk desk({"a"});
   auto lost = Desk::spec(Shape::array, 1, kQuarter);
@@ -296,8 +298,8 @@
   for (const auto& start : starts) EXPECT_EQ(start.task.job, "req-3");
 }
 
-// Found by paired days of vinsamlag (0.745 -> 0.728): scarcity counted by machines made 20 small tasks
-// wait for a holder of their image beside a large machine that had room for all of them.
+// Found by paired days of vinsamlag (0.745 -> 0.728): scarcity counted by machines made 20 small
+// tasks wait for a holder of their image beside a large machine that had room for all of them.
 TEST(Queue, AMachineWithRoomForAllIsNotScarce) {
   Desk desk({"a"});
   auto spec = Desk::spec(Shape::array, 20, {1, 0, 1});
@@ -324,8 +326,8 @@
   EXPECT_EQ(desk.commands(Verb::start).size(), 8U) << "the limit is 8 GPUs, and none of processors";
 }
 
-// Found in the logs of rough days: spot machines are taken often, so nearly every takeover finds one
-// that does not answer, and services and gangs, which never run there, waited for it.
+// Found in the logs of rough days: spot machines are taken often, so nearly every takeover finds
+// one that does not answer, and services and gangs, which never run there, waited for it.
 TEST(Recovery, OnlyMachinesAJobMayRunOnHoldItUp) {
   for (const bool silent_is_spot : {true, false}) {
     Desk desk({"a"});
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -186,7 +186,8 @@
     for (const auto& [id, record] : machine_records_) inheritance.machines.push_back(record);
     for (const auto& [id, job] : jobs_) inheritance.jobs.push_back(job.record);
     for (const auto& [key, record] : progress_) inheritance.progress.push_back(record);
-    // With `commits_` leaders differ in whether they record starts; one that does not takes the mark.
+    // With `commits_` leaders differ in whether they record starts; one that does not takes the
+    // mark.
     Tuning tuning;
     tuning.commit_starts = commits_ && (commits_always_ || takeovers_ % 3 != 0);
     if (!tuning.commit_starts) placements_marked_ = false;
@@ -200,7 +201,8 @@
         Seconds(10),
         {{"c0", Seconds(60)}},
         {{"c1", 1.75}},
-        WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()))};
+        WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch())),
+        !deaf_at_ || now_ - *deaf_at_ > std::chrono::minutes(3)};
     inheritance.beliefs = believed_;
     const TakenOver event{settings, leader_->token, leader_->leadership.older_leases_end(now_),
                           inheritance};
@@ -384,7 +386,10 @@
       if (auto* owner = process(token)) feed(*owner, ReleaseAnswered{release.machines, ok});
     });
   }
-  void carry_out(LeaderProcess&, Token token, Resign&) { resigning_ = token; }
+  void carry_out(LeaderProcess&, Token token, Resign& resign) {
+    resigning_ = token;
+    if (resign.deaf) deaf_at_ = now_;
+  }
 
   MachineId boot(const std::string& type, const std::string& zone, bool spot, TimePoint up) {
     char name[16];
@@ -776,6 +781,7 @@
   std::unique_ptr<LeaderProcess> stale_;
   TimePoint next_takeover_{};
   Token resigning_ = 0;
+  std::optional<TimePoint> deaf_at_;
   std::size_t takeovers_ = 0;
 
   Revision revision_ = 0;
