--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <fstream>
 
 #include "config/history_settings.hpp"
 #include "history/keeper.hpp"
@@ -545,6 +546,61 @@
   std::filesystem::remove_all(path);
 }
 
+// The command as operators use it: looking back, changing the key, finding damage.
+TEST(HistoryCommand, VerifiesReplaysCompactsAndFindsDamage) {
+  const auto path = ::testing::TempDir() + "violetpulley-command-" + std::to_string(getpid());
+  std::filesystem::remove_all(path);
+  const auto run = [&](const std::string& words) {
+    FILE* pipe =
+        popen((std::string(VIOLETPULLEY_PROGRAM) + " history " + words + " 2>&1").c_str(), "r");
+    std::string out;
+    char buffer[4096];
+    while (const auto got = fread(buffer, 1, sizeof buffer, pipe)) out.append(buffer, got);
+    const int status = pclose(pipe);
+    return std::pair(WIFEXITED(status) ? WEXITSTATUS(status) : -1, out);
+  };
+  const auto old_key = path + "-old.key";
+  const auto new_key = path + "-new.key";
+  std::ofstream(old_key) << std::string(64, '7') << "\n";
+  std::ofstream(new_key) << std::string(64, '8') << "\n";
+  const auto& story = short_story();
+  {
+    Directory files(path, true);
+    Writer writer(files, often(), kKey);
+    writer.open();
+    for (const auto& record : story.records) writer.write(record);
+  }
+  const auto with_old = path + " --key " + old_key;
+  const auto with_new = path + " --key " + new_key;
+  EXPECT_EQ(run("verify " + with_old).first, 0);
+  EXPECT_EQ(run("verify " + path).first, 0) << "without a key the checksums are checked";
+  EXPECT_EQ(run("verify " + with_new).first, 1);
+  EXPECT_EQ(run("verify " + path + " --key /nowhere").first, 2);
+  EXPECT_EQ(run("verify").first, 2);
+  const auto replayed = run("replay " + with_old);
+  EXPECT_EQ(replayed.first, 0) << replayed.second;
+  EXPECT_NE(replayed.second.find(hex(story.states.back())), std::string::npos) << replayed.second;
+  EXPECT_NE(run("show " + with_old).second.find("tick"), std::string::npos);
+  const auto compacted = run("compact " + with_old + " --new-key " + new_key);
+  EXPECT_EQ(compacted.first, 0) << compacted.second;
+  EXPECT_EQ(run("verify " + with_old).first, 1);
+  EXPECT_EQ(run("verify " + with_new).first, 0) << run("verify " + with_new).second;
+  EXPECT_NE(run("replay " + with_new).second.find(hex(story.states.back())), std::string::npos);
+  for (const auto& entry : std::filesystem::directory_iterator(path))
+    if (entry.path().extension() == ".vps") {
+      std::fstream file(entry.path(), std::ios::in | std::ios::out | std::ios::binary);
+      file.seekp(100);
+      file.put('!');
+    }
+  const auto broken = run("verify --json " + with_new);
+  EXPECT_EQ(broken.first, 1);
+  EXPECT_NE(broken.second.find("\"cause\":\"a checksum is wrong\""), std::string::npos)
+      << broken.second;
+  std::filesystem::remove_all(path);
+  std::filesystem::remove(old_key);
+  std::filesystem::remove(new_key);
+}
+
 TEST(HistorySettings, NameTheFieldAndTheReason) {
   const auto refused = [](const std::string& yaml) -> std::string {
     try {
