--- a/src/node.cpp
+++ b/src/node.cpp
@@ -106,7 +106,11 @@
   store_.set_share(share(false));
   mirror_.set_watch_gap(kFollowerWatchGap);
   // The leader may be in the middle of a callback: it ends when that has returned.
-  if (leader_) asio::post(io_, [old = std::shared_ptr<Leader>(std::move(leader_))] {});
+  // It must not outlive the node, whose parts it uses until its end.
+  if (leader_) ended_.push_back(std::move(leader_));
+  asio::post(io_, [this, alive = alive_] {
+    if (*alive) ended_.clear();
+  });
 }
 
 void Node::catalog_known(std::vector<core::MachineType> types) {
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -51,6 +51,7 @@
   api::UserApi users_;
   std::optional<core::TimePoint> deaf_at_;  // before the leader, which refers to it
   std::unique_ptr<Leader> leader_;
+  std::vector<std::unique_ptr<Leader>> ended_;  // until their last callback has returned
   asio::steady_timer second_timer_;
   asio::steady_timer catalog_timer_;
   std::vector<core::MachineType> types_;
