--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "api/job_codec.hpp"
+#include "wall_clock.hpp"
 
 namespace violetpulley::api {
 
@@ -134,7 +135,7 @@
 void UserApi::accept(core::JobSpec spec, const net::Responder& respond) {
   core::JobRecord record{
       std::move(spec),
-      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()), 0};
+      wall_now(), 0};
   const auto& id = record.spec.id;
   store::Transaction transaction{{{store::kJobPrefix + id, 0}, {store::kEndPrefix + id, 0}},
                                  {{store::kJobPrefix + id, record_to_json(record), std::nullopt}}};
--- a/src/core/assignments.cpp
+++ b/src/core/assignments.cpp
@@ -5,6 +5,21 @@
 
 namespace violetpulley::core {
 
+Assignment assignment_of(const JobSpec& spec, Attempt attempt, Seconds estimate, TimePoint now) {
+  Assignment assignment;
+  assignment.attempt = attempt;
+  assignment.resources = spec.per_task;
+  assignment.team = spec.team;
+  assignment.job_class = spec.job_class;
+  assignment.image = spec.image;
+  assignment.shape = spec.shape;
+  assignment.estimate = estimate;
+  assignment.checkpoint_every = spec.checkpoint_every;
+  assignment.save_time = spec.save_time;
+  assignment.placed = now;
+  return assignment;
+}
+
 // The assignment ends: nothing of it is on the machine any more.
 void Assignments::drop(Machine& machine, const TaskKey& key, TimePoint now, bool stored) {
   const auto assignment = machine.tasks.find(key);
--- a/src/core/assignments.hpp
+++ b/src/core/assignments.hpp
@@ -7,6 +7,9 @@
 
 namespace violetpulley::core {
 
+// What a job's task is on a machine from `now` on; its estimate is of what is left.
+Assignment assignment_of(const JobSpec& spec, Attempt attempt, Seconds estimate, TimePoint now);
+
 class Assignments {
  public:
   Assignments(Outbox& out, Fleet& fleet, Jobs& jobs, Recovery& recovery)
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <sstream>
 
+#include "core/on_machines.hpp"
+
 namespace violetpulley::core {
 
 namespace {
@@ -71,23 +73,15 @@
 void Controller::job_closed(const JobId& id, TimePoint now) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
-  const auto& job = found->second;
-  for (TaskIndex i = 0; i < job.tasks.size(); ++i) {
-    const auto& task = job.tasks[i];
-    if (task.phase != Phase::assigned) continue;
-    auto* machine = fleet_.find(task.machine);
-    if (machine == nullptr) continue;
-    const auto assignment = machine->tasks.find({id, i});
-    if (assignment == machine->tasks.end()) continue;
-    fleet_.touch(*machine);
-    if (!orders_.committed({id, i}, assignment->second)) {
-      // Its start was never sent and never will be.
-      assignments_.drop(*machine, {id, i}, now);
-      continue;
-    }
-    assignment->second.abandoned = true;
-    orders_.stop(*machine, assignment->second, now);
-  }
+  each_on_machines(fleet_, found->second,
+                   [&](Machine& machine, const TaskKey& key, Assignment& assignment) {
+                     // A start that was not committed was never sent and never will be.
+                     if (!orders_.committed(key, assignment))
+                       return assignments_.drop(machine, key, now);
+                     fleet_.touch(machine);
+                     assignment.abandoned = true;
+                     orders_.stop(machine, assignment, now);
+                   });
   gangs_.job_closed(id);
   jobs_.close(id);
 }
@@ -97,9 +91,9 @@
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
   // What waited for it is sent now.
-  for (const auto& task : found->second.tasks)
-    if (task.phase == Phase::assigned)
-      if (const auto* machine = fleet_.find(task.machine)) orders_.want(*machine);
+  each_on_machines(
+      fleet_, found->second,
+      [&](const Machine& machine, const TaskKey&, const Assignment&) { orders_.want(machine); });
 }
 
 void Controller::release_answered(const std::vector<MachineId>& machines, bool ok, TimePoint now) {
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "core/limits.hpp"
+#include "core/on_machines.hpp"
 #include "core/packer.hpp"
 
 namespace violetpulley::core {
@@ -262,15 +263,11 @@
   for (const auto& id : jobs_.take_broken()) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) continue;
-    auto& job = found->second;
-    for (TaskIndex i = 0; i < job.tasks.size(); ++i) {
-      if (job.tasks[i].phase != Phase::assigned) continue;
-      auto* machine = fleet_.find(job.tasks[i].machine);
-      if (machine == nullptr) continue;
-      const auto assignment = machine->tasks.find({id, i});
-      if (assignment != machine->tasks.end() && assignment->second.state != TaskState::saving)
-        orders_.stop(*machine, assignment->second, now);
-    }
+    each_on_machines(fleet_, found->second,
+                     [&](Machine& machine, const TaskKey&, Assignment& assignment) {
+                       if (assignment.state != TaskState::saving)
+                         orders_.stop(machine, assignment, now);
+                     });
     out_.want_placing();
   }
 }
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -90,6 +90,13 @@
     ++done;
   }
 
+  // Chunks of its progress that are, or may yet be, in the store.
+  std::vector<TaskIndex> chunks_written() const {
+    auto chunks = chunks_stored;
+    chunks.insert(chunks_in_flight.begin(), chunks_in_flight.end());
+    return {chunks.begin(), chunks.end()};
+  }
+
   ProgressRecord progress(TaskIndex chunk) const {
     ProgressRecord out{record.spec.id, chunk, {}, {}};
     const TaskIndex first = chunk * kProgressChunk;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -20,11 +20,9 @@
   const auto found = jobs_.find(id);
   auto& job = found->second;
   touch(job);
-  if (!job.chunks_stored.empty() || !job.chunks_in_flight.empty()) {
-    auto chunks = job.chunks_stored;
-    chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
-    if (!job.finishing) out_.push_back(DeleteProgress{id, {chunks.begin(), chunks.end()}});
-  }
+  // The end of a job that finishes takes them with it.
+  if (auto chunks = job.chunks_written(); !chunks.empty() && !job.finishing)
+    out_.push_back(DeleteProgress{id, std::move(chunks)});
   progress_dirty_.erase(id);
   placed_dirty_.erase(id);
   complete_.erase(id);
@@ -173,9 +171,7 @@
     if (job.finishing || now < job.finish_retry) continue;
     touch(job);
     job.finishing = true;
-    auto chunks = job.chunks_stored;
-    chunks.insert(job.chunks_in_flight.begin(), job.chunks_in_flight.end());
-    out_.push_back(FinishJob{id, job.record.revision, {chunks.begin(), chunks.end()}});
+    out_.push_back(FinishJob{id, job.record.revision, job.chunks_written()});
   }
 }
 
--- a/src/core/jobs.hpp
+++ b/src/core/jobs.hpp
@@ -59,7 +59,6 @@
   // tasks say of themselves is all that there is; then all of them are written, and the mark after
   // them.
   void persist_placements(bool all_accounted);
-  void placements_marked() { mark_ = Mark::set; }
 
   // Gangs that have lost a task and must end whole.
   void note_broken(const JobId& gang) { broken_gangs_.insert(gang); }
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/on_machines.hpp"
+
 namespace violetpulley::core {
 
 bool Orders::forgettable(const Machine& machine, const TaskReport& entry) const {
@@ -74,13 +76,9 @@
   // With more grace than the save takes, a worker that counts a little faster still lets it end.
   const auto grace = assignment.save_time + kOrderTravels;
   if (!job->second.gang()) return stop(machine, assignment, now, grace);
-  for (TaskIndex i = 0; i < job->second.tasks.size(); ++i) {
-    if (job->second.tasks[i].phase != Phase::assigned) continue;
-    auto* place = fleet_.find(job->second.tasks[i].machine);
-    if (place == nullptr) continue;
-    const auto mate = place->tasks.find({key.job, i});
-    if (mate != place->tasks.end()) stop(*place, mate->second, now, grace);
-  }
+  each_on_machines(fleet_, job->second, [&](Machine& place, const TaskKey&, Assignment& mate) {
+    stop(place, mate, now, grace);
+  });
 }
 
 void Orders::send(TimePoint now) {
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -46,7 +46,7 @@
   scarcity_.note_jobs();
   for (auto& [id, job] : jobs_) {
     if (job.waiting.empty() || now < job.backoff_until) continue;
-    if (recovery_.held(job) == job.waiting.size()) continue;
+    if (starts_.startable(job) == 0) continue;
     by_age.push_back(&job);
   }
   std::sort(by_age.begin(), by_age.end(), [](const Job* a, const Job* b) {
@@ -142,15 +142,14 @@
   }
 }
 
-bool Placing::round(TimePoint now) {
+void Placing::round(TimePoint now) {
   const bool round_due = now - last_place_ >= to_duration(settings_.tuning.round);
   const bool quick =
       out_.placing_wanted() && now - last_place_ >= to_duration(settings_.tuning.quick_round);
-  if (!round_due && !quick) return false;
+  if (!round_due && !quick) return;
   last_place_ = now;
   out_.placing_begins();
   place(now);
-  return true;
 }
 
 void Placing::place(TimePoint now) {
--- a/src/core/placing.hpp
+++ b/src/core/placing.hpp
@@ -28,8 +28,8 @@
         gangs_(gangs),
         rentals_(rentals) {}
 
-  // Holds a round if one is due, and tells whether it was.
-  bool round(TimePoint now);
+  // Holds a round if one is due.
+  void round(TimePoint now);
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -26,17 +26,11 @@
   orders_.stop_saving(machine, key, assignment, available, now);
 }
 
-// Replicas that may start now.
-TaskIndex Preemption::waiting_of(const Job& job) const {
-  return static_cast<TaskIndex>(std::count_if(job.waiting.begin(), job.waiting.end(),
-                                              [&](TaskIndex i) { return !starts_.held(job, i); }));
-}
-
 // Replicas that found no place get that of another task, at once and without a save: users wait.
 void Preemption::make_room_for_services(const std::vector<Candidate>& queue, TimePoint now) {
   TaskIndex needed = 0;
   for (const auto& candidate : queue)
-    if (candidate.job->service()) needed += waiting_of(*candidate.job);
+    if (candidate.job->service()) needed += starts_.startable(*candidate.job);
   if (needed == 0) return;
   struct Victim {
     Machine* machine;
@@ -61,7 +55,7 @@
     const auto& spec = job.spec();
     if (!job.service() || !starts_.within_limit(spec)) continue;
     auto zones = starts_.zone_use(job);
-    auto wanted = waiting_of(job);
+    auto wanted = starts_.startable(job);
     const auto spared = std::min(wanted, coming);  // room that is coming already
     wanted -= spared;
     coming -= spared;
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -26,7 +26,6 @@
   void make_room_for_gang(const Job& job, GangRoom& room, GangRooms& rooms, TimePoint now);
 
  private:
-  TaskIndex waiting_of(const Job& job) const;
   bool preemptible(const TaskKey& key, const Assignment& assignment, Priority priority) const;
   void preempt(Machine& machine, const TaskKey& key, Seconds available, TimePoint now);
 
--- a/src/core/recovery.hpp
+++ b/src/core/recovery.hpp
@@ -92,7 +92,7 @@
   const Seconds since = cost_noted_ ? Seconds(now - *cost_noted_) : Seconds(0);
   cost_noted_ = now;
   for (const auto& [id, job] : jobs) {
-    const auto waiting = job.waiting.empty() || !unaccounted(job) ? 0 : held(job);
+    const auto waiting = held(job);
     if (waiting == 0) continue;
     const auto places = std::min<std::size_t>(waiting, places_for(job.spec()));
     auto& cost = job.gang() ? cost_.gangs : job.service() ? cost_.replicas : cost_.arrays;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -112,17 +112,8 @@
     return;
   }
   if (task.phase != Phase::waiting) return;  // a second copy: commands_for stops it
-  Assignment assignment;
-  assignment.attempt = entry.attempt;
-  assignment.resources = job.spec().per_task;
-  assignment.team = job.spec().team;
-  assignment.job_class = job.spec().job_class;
-  assignment.image = job.spec().image;
-  assignment.shape = job.spec().shape;
-  assignment.estimate = outlooks_.estimate_left(job, entry.task.index);
-  assignment.checkpoint_every = job.spec().checkpoint_every;
-  assignment.save_time = job.spec().save_time;
-  assignment.placed = now;
+  auto assignment =
+      assignment_of(job.spec(), entry.attempt, outlooks_.estimate_left(job, entry.task.index), now);
   assignment.state = entry.state;
   assignment.seen = true;
   if (entry.state == TaskState::running) {
--- a/src/core/starts.cpp
+++ b/src/core/starts.cpp
@@ -1,5 +1,6 @@
 #include "core/starts.hpp"
 
+#include "core/assignments.hpp"
 #include "core/limits.hpp"
 #include "core/packer.hpp"
 #include "core/scaler.hpp"
@@ -65,18 +66,8 @@
   if (machine.tasks.contains(key)) return false;
   fleet_.touch(machine);
   jobs_.touch(job);
-  Assignment assignment;
-  assignment.attempt = attempt;
-  assignment.resources = spec.per_task;
-  assignment.team = spec.team;
-  assignment.job_class = spec.job_class;
-  assignment.image = spec.image;
-  assignment.shape = spec.shape;
+  auto assignment = assignment_of(spec, attempt, outlooks_.estimate_left(job, index), now);
   assignment.saved = job.tasks[job.gang() ? 0 : index].saved;
-  assignment.estimate = outlooks_.estimate_left(job, index);
-  assignment.checkpoint_every = spec.checkpoint_every;
-  assignment.save_time = spec.save_time;
-  assignment.placed = now;
   if (image_rank(machine, spec.image) < 2)
     assignment.fetch = fetch_time(spec, machine.fetch_gb_per_s);
   if (settings_.tuning.commit_starts && job.records_starts())
--- a/src/core/starts.hpp
+++ b/src/core/starts.hpp
@@ -38,6 +38,10 @@
 
   // It may still be where an older leader started it.
   bool held(const Job& job, TaskIndex index) const { return recovery_.held(job, index); }
+  // Tasks that wait and are not held up.
+  TaskIndex startable(const Job& job) const {
+    return static_cast<TaskIndex>(job.waiting.size() - recovery_.held(job));
+  }
   bool placeable(const Machine& machine, TimePoint now) const;
   bool within_limit(const JobSpec& spec) const { return within_limit(spec, 1); }
   bool within_limit(const JobSpec& spec, std::size_t tasks) const;
--- a/src/history/event_log.cpp
+++ b/src/history/event_log.cpp
@@ -12,10 +12,6 @@
 
 std::string part_name(std::uint64_t segment) { return save_name(segment) + ".part"; }
 
-std::string text_of(const Tag& tag) {
-  return {reinterpret_cast<const char*>(tag.data()), tag.size()};
-}
-
 }  // namespace
 
 EventLog::EventLog(Files& files, std::optional<Key> key, LogSettings settings,
--- a/src/history/event_log.hpp
+++ b/src/history/event_log.hpp
@@ -19,13 +19,13 @@
   SyncPolicy sync = SyncPolicy::interval;
   core::Seconds sync_every{1};
   core::Seconds save_every{60};
-  std::uint64_t most_bytes = std::uint64_t{1} << 30U;  // of events since the older save
+  std::uint64_t most_bytes = std::uint64_t{1} << 30U;  // of events since the last save
   std::size_t slice_bytes = 256 * 1024;                // of a save written at once
 };
 
 class EventLog {
  public:
-  // Goes on behind `contents`, cutting a torn tail by beginning a new segment. Throws FileError.
+  // Goes on behind `contents` in a new segment; a torn tail is cut off first. Throws FileError.
   EventLog(Files& files, std::optional<Key> key, LogSettings settings, const Contents& contents,
            HistoryId new_id, core::WallTime wall);
 
@@ -51,7 +51,6 @@
   bool saving() const { return save_.has_value(); }
 
   std::uint64_t events() const { return first_event_ + records_; }
-  std::uint64_t bytes() const { return segment_bytes_; }
   std::uint64_t saves_made() const { return saves_made_; }
 
  private:
--- a/src/history/frames.cpp
+++ b/src/history/frames.cpp
@@ -3,8 +3,6 @@
 #include <sodium.h>
 #include <xxhash.h>
 
-#include <cstring>
-
 namespace violetpulley::history {
 
 namespace {
@@ -87,8 +85,7 @@
   for (std::size_t i = 0; i < sizeof sum; ++i, sum >>= 8U)
     waiting_[before + sizeof length + i] = static_cast<char>(sum & 0xFF);
   if (chain_.keyed()) {
-    const auto tag = chain_.extend(covered);
-    waiting_.append(reinterpret_cast<const char*>(tag.data()), tag.size());
+    waiting_.append(text_of(chain_.extend(covered)));
   }
   written_ += waiting_.size() - before;
 }
--- a/src/history/frames.hpp
+++ b/src/history/frames.hpp
@@ -35,6 +35,11 @@
 using Key = std::array<unsigned char, 32>;
 using Tag = std::array<unsigned char, 16>;
 
+// The bytes of a tag, as records and frames hold them.
+inline std::string text_of(const Tag& tag) {
+  return {reinterpret_cast<const char*>(tag.data()), tag.size()};
+}
+
 // 64 hexadecimal digits, as `head -c 32 /dev/urandom | xxd -p -c 32` makes them. Throws
 // std::invalid_argument with the cause.
 Key parse_key(std::string_view text);
@@ -96,7 +101,6 @@
   std::size_t torn_bytes() const { return torn_; }
   const std::string& torn_cause() const { return torn_cause_; }
   const Tag& tail() const { return chain_.tail(); }
-  std::uint64_t frames() const { return number_; }
 
  private:
   struct Frame {
--- a/src/history/reader.cpp
+++ b/src/history/reader.cpp
@@ -8,10 +8,6 @@
 
 constexpr std::string_view kUnfinished = ".part";
 
-std::string text_of(const Tag& tag) {
-  return {reinterpret_cast<const char*>(tag.data()), tag.size()};
-}
-
 // A payload whose checksum is right and which is still not what it should be.
 template <class T>
 T read_payload(const std::string& file, std::size_t offset, std::string_view payload) {
@@ -56,7 +52,7 @@
   return info;
 }
 
-std::pair<SaveHead, Parts> Reader::load_save(const std::string& name) {
+Reader::Loaded Reader::load_save(const std::string& name) {
   const auto bytes = files_.read(name);
   FrameReader frames(name, bytes, FileKind::save, key_);
   SaveHead head;
@@ -87,14 +83,32 @@
   if (!end || open) throw Damaged(name, frames.offset(), "the save has no end");
   if (digest_of(parts) != end->state_digest)
     throw Damaged(name, frames.offset(), "the digest of the state is wrong");
-  return {std::move(head), std::move(parts)};
+  std::size_t size = 0;
+  for (const auto& part : parts) size += part.second.size();
+  return {{name, std::move(head), size, end->state_digest}, std::move(parts)};
 }
 
-SaveInfo Reader::check_save(const std::string& name) {
-  const auto [head, parts] = load_save(name);
-  std::size_t bytes = 0;
-  for (const auto& part : parts) bytes += part.second.size();
-  return {name, head, bytes, digest_of(parts)};
+SaveInfo Reader::restore(const std::string& name, Replay& replay) {
+  auto loaded = load_save(name);
+  try {
+    replay.restore(loaded.info.head, loaded.parts);
+  } catch (const BadValue& problem) {
+    throw Damaged(name, 0, problem.what());
+  }
+  return std::move(loaded.info);
+}
+
+SegmentInfo Reader::replay_segment(const std::string& name, Replay& replay,
+                                   std::optional<std::uint64_t> until) {
+  return read_segment(name, [&](const Record& record, std::uint64_t number) {
+    if (until && number >= *until) return false;
+    try {
+      replay.apply(record);
+    } catch (const BadValue& problem) {
+      throw Damaged(name, 0, "record " + std::to_string(number) + ": " + problem.what());
+    }
+    return true;
+  });
 }
 
 Contents Reader::check() {
@@ -103,7 +117,7 @@
     if (segment_number(name)) {
       out.segments.push_back(read_segment(name, [](const Record&, std::uint64_t) { return true; }));
     } else if (save_number(name)) {
-      out.saves.push_back(check_save(name));
+      out.saves.push_back(load_save(name).info);
     } else if (name.ends_with(kUnfinished)) {
       out.unfinished.push_back(name);
     }
@@ -177,13 +191,9 @@
     const auto name = saves.back();
     saves.pop_back();
     try {
-      const auto [head, parts] = load_save(name);
-      replay.restore(head, parts);
-      first = head.segment;
-      out.saves.push_back({name, head, 0, digest_of(parts)});
+      out.saves.push_back(restore(name, replay));
+      first = out.saves.back().head.segment;
       break;
-    } catch (const BadValue& problem) {
-      note(Damaged(name, 0, problem.what()));
     } catch (const Damaged& problem) {
       if (saves.empty() && segment_number(segments.empty() ? "" : segments.front()) != 1) throw;
       note(problem);
@@ -191,14 +201,7 @@
   }
   for (const auto& name : segments) {
     if (*segment_number(name) < first) continue;
-    out.segments.push_back(read_segment(name, [&](const Record& record, std::uint64_t number) {
-      try {
-        replay.apply(record);
-      } catch (const BadValue& problem) {
-        throw Damaged(name, 0, "record " + std::to_string(number) + ": " + problem.what());
-      }
-      return true;
-    }));
+    out.segments.push_back(replay_segment(name, replay, std::nullopt));
   }
   check_links(out);
   return out;
@@ -216,28 +219,10 @@
     save = &candidate;
     if (from_start) break;  // the oldest, if events do not go back to the first
   }
-  if (save != nullptr) {
-    const auto [head, parts] = load_save(save->name);
-    try {
-      replay.restore(head, parts);
-    } catch (const BadValue& problem) {
-      throw Damaged(save->name, 0, problem.what());
-    }
-    first = head.segment;
-  }
+  if (save != nullptr) first = restore(save->name, replay).head.segment;
   for (const auto& segment : contents.segments) {
-    if (segment.head.segment < first) continue;
-    bool more = true;
-    read_segment(segment.name, [&](const Record& record, std::uint64_t number) {
-      if (until && number >= *until) return more = false;
-      try {
-        replay.apply(record);
-      } catch (const BadValue& problem) {
-        throw Damaged(segment.name, 0, "record " + std::to_string(number) + ": " + problem.what());
-      }
-      return true;
-    });
-    if (!more) return;
+    if (until && segment.head.first_event >= *until) return;
+    if (segment.head.segment >= first) replay_segment(segment.name, replay, until);
   }
 }
 
--- a/src/history/reader.hpp
+++ b/src/history/reader.hpp
@@ -44,8 +44,6 @@
   // Reads and checks everything. Throws Damaged at the first damage, FileError.
   Contents check();
 
-  // A whole save. Throws Damaged, also when it is not complete.
-  std::pair<SaveHead, Parts> load_save(const std::string& name);
   // Calls `each` for the records of a segment until it says false.
   SegmentInfo read_segment(const std::string& name,
                            const std::function<bool(const Record&, std::uint64_t)>& each);
@@ -61,7 +59,16 @@
               std::optional<std::uint64_t> until = {});
 
  private:
-  SaveInfo check_save(const std::string& name);
+  struct Loaded {
+    SaveInfo info;
+    Parts parts;
+  };
+  // A whole save. Throws Damaged, also when it is not complete.
+  Loaded load_save(const std::string& name);
+  // Both throw Damaged for what cannot be replayed.
+  SaveInfo restore(const std::string& name, Replay& replay);
+  SegmentInfo replay_segment(const std::string& name, Replay& replay,
+                             std::optional<std::uint64_t> until);
   void check_links(Contents& contents) const;
 
   Files& files_;
--- a/src/history/state_capture.cpp
+++ b/src/history/state_capture.cpp
@@ -48,11 +48,11 @@
     plans_.push_back(std::move(plan));
   };
   core::Controller::each_part(std::as_const(controller), plan);
-  for (const auto& [id, machine] : controller.fleet().all()) shared_->machines.early[id];
-  for (const auto& [id, job] : controller.jobs()) shared_->jobs.early[id];
-  const auto keep = [](auto& items, const std::string& id, const auto& item) {
-    const auto found = items.early.find(id);
-    if (found != items.early.end() && !found->second) found->second = entry(id, item);
+  for (const auto& [id, machine] : controller.fleet().all()) shared_->machines[id];
+  for (const auto& [id, job] : controller.jobs()) shared_->jobs[id];
+  const auto keep = [](Items& items, const std::string& id, const auto& item) {
+    const auto found = items.find(id);
+    if (found != items.end() && !found->second) found->second = entry(id, item);
   };
   // The hooks may stay longer than the capture; then they find nothing to do.
   controller.before_changes(
@@ -65,16 +65,16 @@
 }
 
 // Adds entries in the order of their names; tells whether that was all.
-template <class Table, class Item>
-bool StateCapture::add_items(const Table& table, Items<Item>& items, std::string& out,
+template <class Table>
+bool StateCapture::add_items(const Table& table, Items& items, std::string& out,
                              std::size_t bytes) {
-  while (!items.early.empty() && out.size() < bytes) {
-    const auto first = items.early.begin();
+  while (!items.empty() && out.size() < bytes) {
+    const auto first = items.begin();
     // Not written early: it has not changed since, so it is still there.
     out += first->second ? *first->second : entry(first->first, table.find(first->first)->second);
-    items.early.erase(first);
+    items.erase(first);
   }
-  return items.early.empty();
+  return items.empty();
 }
 
 std::optional<SaveSlice> StateCapture::next(std::size_t bytes) {
--- a/src/history/state_capture.hpp
+++ b/src/history/state_capture.hpp
@@ -22,14 +22,12 @@
   std::uint64_t digest() const { return digest_.value(); }
 
  private:
-  // Machines or jobs that were there at the moment, and the bytes of those that were written early.
-  template <class Item>
-  struct Items {
-    std::map<std::string, std::optional<std::string>> early;  // by name; erased when written
-  };
+  // Machines or jobs that were there at the moment, by name, and the bytes of those that were
+  // written early; erased when they are in the save.
+  using Items = std::map<std::string, std::optional<std::string>>;
   struct Shared {
-    Items<core::Machine> machines;
-    Items<core::Job> jobs;
+    Items machines;
+    Items jobs;
   };
   // A part whose items are written one by one between a front and an end.
   struct Plan {
@@ -39,8 +37,8 @@
     enum class Kind { whole, machines, jobs } kind = Kind::whole;
   };
 
-  template <class Table, class Item>
-  bool add_items(const Table& table, Items<Item>& items, std::string& out, std::size_t bytes);
+  template <class Table>
+  static bool add_items(const Table& table, Items& items, std::string& out, std::size_t bytes);
 
   core::Controller& controller_;
   std::shared_ptr<Shared> shared_ = std::make_shared<Shared>();
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "agent/agent_codec.hpp"
+#include "wall_clock.hpp"
 
 namespace violetpulley {
 
@@ -180,10 +181,6 @@
     keeper_->leader_ends(controller_->beliefs(Clock::now(), wall_now()));
 }
 
-core::WallTime Leader::wall_now() const {
-  return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
-}
-
 void Leader::feed(core::Event event, core::TimePoint now) {
   if (keeper_ != nullptr) keeper_->record(now, event);
   core::apply(*controller_, event, now);
--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -38,7 +38,6 @@
   // Everything that enters the core comes through here, so that the history holds all of it.
   void feed(core::Event event, core::TimePoint now);
   void feed(core::Event event) { feed(std::move(event), core::Clock::now()); }
-  core::WallTime wall_now() const;
   void keep_history(core::TimePoint now);
   void feed_catalog();
   void load();
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "wall_clock.hpp"
+
 namespace violetpulley {
 
 using core::Clock;
@@ -71,8 +73,7 @@
               }) {
   if (history_.home == config::HistoryHome::directory)
     keeper_ = std::make_unique<history::Keeper>(
-        history::Keeper::Settings{history_.directory, history_.key, history_.log},
-        std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now()));
+        history::Keeper::Settings{history_.directory, history_.key, history_.log}, wall_now());
   mirror_.start();
   election_.start();
   fetch_catalog();
--- a/src/store/belief_store.cpp
+++ b/src/store/belief_store.cpp
@@ -43,8 +43,7 @@
   if (!settings.key) return "";
   history::Chain chain(settings.key);
   chain.extend(std::to_string(token));
-  const auto tag = chain.extend(bytes);
-  return to_base64({reinterpret_cast<const char*>(tag.data()), tag.size()});
+  return to_base64(history::text_of(chain.extend(bytes)));
 }
 
 // What is worth least goes first: jobs of which only the time is known, which the job itself tells
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -12,22 +12,28 @@
   return usual + (extra == nullptr ? 0 : std::atoi(extra));
 }
 
-class Simulation : public ::testing::TestWithParam<int> {};
-
-TEST_P(Simulation, KeepsEveryRuleAndFinishes) {
-  const auto seed = static_cast<std::uint64_t>(GetParam());
-  SCOPED_TRACE("seed " + std::to_string(seed));
-  World world(seed);
-  world.run(Seconds(400));
+// The troubles go on for so long and end; then all that was accepted must run, services until they
+// are cancelled.
+void expect_all_runs(World& world, Seconds troubled) {
+  world.run(troubled);
   world.quiet();
   world.stop_submitting();
   world.run(Seconds(550));
   EXPECT_EQ(world.missing_replicas(), 0U) << world.state();
   world.cancel_services();
   world.run(Seconds(50));
+  EXPECT_EQ(world.open_jobs(), 0U) << "accepted jobs must run: " << world.state();
+}
+
+class Simulation : public ::testing::TestWithParam<int> {};
+
+TEST_P(Simulation, KeepsEveryRuleAndFinishes) {
+  const auto seed = static_cast<std::uint64_t>(GetParam());
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  World world(seed);
+  expect_all_runs(world, Seconds(400));
   EXPECT_GT(world.finished_jobs(), 20U);
   EXPECT_GT(world.gang_starts(), 3U);
-  EXPECT_EQ(world.open_jobs(), 0U) << "accepted jobs must run: " << world.state();
   std::cout << "digest of actions, seed " << seed << ": " << history::hex(world.actions_digest())
             << "\n";
 }
@@ -40,16 +46,11 @@
   SCOPED_TRACE("seed " + std::to_string(seed));
   World world(seed);
   world.believe();
-  world.run(Seconds(300));
-  world.quiet();
-  world.stop_submitting();
-  world.run(Seconds(550));
-  world.cancel_services();
-  world.run(Seconds(50));
-  EXPECT_EQ(world.open_jobs(), 0U) << "accepted jobs must run: " << world.state();
+  expect_all_runs(world, Seconds(300));
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Believing, ::testing::Range(101, 101 + seeds(8)));
+
 // Starts of gangs and services that are committed first, by all leaders or by two of three.
 class Committing : public ::testing::TestWithParam<int> {};
 
@@ -58,16 +59,9 @@
   SCOPED_TRACE("seed " + std::to_string(seed));
   World world(seed);
   world.commit_starts(seed % 2 == 0);
-  world.run(Seconds(400));
-  world.quiet();
-  world.stop_submitting();
-  world.run(Seconds(550));
-  EXPECT_EQ(world.missing_replicas(), 0U) << world.state();
-  world.cancel_services();
-  world.run(Seconds(50));
+  expect_all_runs(world, Seconds(400));
   EXPECT_GT(world.gang_starts(), 3U);
   EXPECT_GT(world.marks(), 0U);
-  EXPECT_EQ(world.open_jobs(), 0U) << "accepted jobs must run: " << world.state();
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Committing, ::testing::Range(201, 201 + seeds(48)));
--- a/tests/together_test.cpp
+++ b/tests/together_test.cpp
@@ -326,18 +326,23 @@
   EXPECT_EQ(desk.commands(Verb::start).size(), 8U) << "the limit is 8 GPUs, and none of processors";
 }
 
+// A job accepted before the takeover, and a machine that answers nothing.
+Inheritance beside_silent(const JobSpec& spec, bool silent_is_spot) {
+  JobRecord record;
+  record.spec = spec;
+  record.revision = 2;
+  Inheritance inheritance;
+  inheritance.jobs = {record};
+  inheritance.machines = {{"m8", "10.0.0.8:1", "g4", "a", silent_is_spot, {}}};
+  return inheritance;
+}
+
 // Found in the logs of rough days: spot machines are taken often, so nearly every takeover finds
 // one that does not answer, and services and gangs, which never run there, waited for it.
 TEST(Recovery, OnlyMachinesAJobMayRunOnHoldItUp) {
   for (const bool silent_is_spot : {true, false}) {
     Desk desk({"a"});
-    JobRecord record;
-    record.spec = Desk::spec(Shape::service, 2, kQuarter);
-    record.revision = 2;  // accepted before the takeover
-    Inheritance inheritance;
-    inheritance.jobs = {record};
-    inheritance.machines = {{"m8", "10.0.0.8:1", "g4", "a", silent_is_spot, {}}};
-    desk.take_over(inheritance);
+    desk.take_over(beside_silent(Desk::spec(Shape::service, 2, kQuarter), silent_is_spot));
     desk.machine("m1", "a");
     desk.run(Seconds(1));
     EXPECT_EQ(desk.commands(Verb::start).size(), silent_is_spot ? 2U : 0U);
@@ -367,13 +372,7 @@
 TEST(Leases, OfOlderLeadersTooCountAsRunOutOnlyThen) {
   for (const bool cut_off : {false, true}) {
     Desk desk({"a"});
-    JobRecord record;
-    record.spec = Desk::spec(Shape::array, 1, kQuarter);
-    record.revision = 2;  // accepted before the takeover
-    Inheritance inheritance;
-    inheritance.jobs = {record};
-    inheritance.machines = {{"m8", "10.0.0.8:1", "g4", "a", false, {}}};
-    desk.take_over(inheritance);
+    desk.take_over(beside_silent(Desk::spec(Shape::array, 1, kQuarter), false));
     desk.run(Seconds(50));
     if (cut_off) desk.cut_off();
     desk.machine("m1", "a");
