--- a/tests/solver_test.cpp
+++ b/tests/solver_test.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <sstream>
 
 #include "config/case_file.hpp"
 #include "exhaustive.hpp"
@@ -16,16 +17,19 @@
 namespace violetpulley::solver {
 namespace {
 
+// Not `"m" + std::to_string(i)`: GCC 12 warns of that wrongly (-Wrestrict).
+template <class Number>
+std::string numbered(const char* what, Number number) {
+  std::ostringstream out;
+  out << what << number;
+  return out.str();
+}
+
 Machine machine(const std::string& id, double processors, const std::string& zone = "a",
                 double memory = 64, double accelerators = 0) {
-  Machine out;
-  out.id = id;
-  out.type = "t";
-  out.zone = zone;
-  out.room = {{std::llround(processors * kOne), std::llround(accelerators * kOne),
-               std::llround(memory * kOne)}};
-  out.price = kOne;
-  return out;
+  const Room room{{std::llround(processors * kOne), std::llround(accelerators * kOne),
+                   std::llround(memory * kOne)}};
+  return {id, "t", zone, false, true, room, kOne};
 }
 
 Job job(const std::string& id, std::uint32_t tasks, double processors, double memory = 0) {
@@ -50,7 +54,7 @@
   const bool equal = one_in(4);
   for (std::int64_t m = 0; m < machines; ++m) {
     auto& added = out.machines.emplace_back(equal && m > 0 ? out.machines[0] : Machine{});
-    added.id = "m" + std::to_string(m);
+    added.id = numbered("m", m);
     if (equal && m > 0) continue;
     added.type = types[pick(2)];
     added.zone = zones[pick(zone_count)];
@@ -62,7 +66,7 @@
   const auto teams = pick(3);
   for (std::int64_t t = 0; t < teams; ++t) {
     auto& team = out.teams.emplace_back();
-    team.name = "team" + std::to_string(t);
+    team.name = numbered("team", t);
     if (one_in(2)) team.guaranteed.of[cpus] = pick(4) * kOne;
     if (one_in(2)) team.most.of[cpus] = (1 + pick(6)) * kOne;
     if (one_in(4)) team.most.of[gpus] = (1 + pick(2)) * kOne;
@@ -73,7 +77,7 @@
   State state(out);
   for (std::int64_t j = 0; j < jobs; ++j) {
     Job added;
-    added.id = "j" + std::to_string(j);
+    added.id = numbered("j", j);
     if (teams > 0 && !one_in(3)) added.team = "team" + std::to_string(pick(teams));
     added.shape = static_cast<Shape>(pick(3));
     added.priority = static_cast<int>(pick(3)) - 1;
@@ -172,7 +176,8 @@
     apply(step, now);
     ++out.steps;
     loss += step.loss;
-    if (const auto wrong = exhaustive::wrong(problem, now)) return "a step breaks " + *wrong;
+    if (const auto wrong = exhaustive::wrong(problem, now))
+      return numbered("a step breaks ", *wrong);
     for (const auto& change : step.changes)
       if (change.tasks < 0) stopped[step.job] -= change.tasks;
   }
@@ -189,36 +194,37 @@
 Checked check(const Problem& problem) {
   Checked out;
   if (exhaustive::wrong(problem, homes(problem))) {
-    out.failure = "the case itself is wrong";
+    out.failure = std::string("the case itself is wrong");
     return out;
   }
   const auto fast = search_fast(problem);
   const auto exact = search_exact(problem, 3'000'000);
   for (const auto* found : {&fast, &exact.best}) {
     if (const auto wrong = exhaustive::wrong(problem, found->placement)) {
-      out.failure = "a placement breaks " + *wrong;
+      out.failure = numbered("a placement breaks ", *wrong);
       return out;
     }
     if (exhaustive::value(problem, found->placement) != exhaustive::value(found->score)) {
-      out.failure = "the score is not that of the placement";
+      out.failure = std::string("the score is not that of the placement");
       return out;
     }
     out.failure = check_steps(problem, found->placement, out);
     if (out.failure.empty()) out.failure = check_reasons(problem, found->placement, out);
     if (!out.failure.empty()) return out;
   }
-  if (exact.best.score.better_than(exact.bound)) out.failure = "the best is better than the bound";
+  if (exact.best.score.better_than(exact.bound))
+    out.failure = std::string("the best is better than the bound");
   // By itself, not from what the fast search found.
   const auto alone = search_exact(problem, 1'000'000, {0, 0, 1, 0});
   if (alone.proven && exact.proven && alone.best.score != exact.best.score)
-    out.failure = "the exact search alone comes to something else";
+    out.failure = std::string("the exact search alone comes to something else");
   const auto best = exhaustive::best(problem, kSteps);
   out.complete = best.has_value();
   if (!best) return out;
   const auto found = exhaustive::value(exact.best.score);
-  if (found > *best) out.failure = "better than everything there is";
-  if (exact.proven && found != *best) out.failure = "the exact search is worse";
-  if (exhaustive::value(exact.bound) < *best) out.failure = "the bound is not one";
+  if (found > *best) out.failure = std::string("better than everything there is");
+  if (exact.proven && found != *best) out.failure = std::string("the exact search is worse");
+  if (exhaustive::value(exact.bound) < *best) out.failure = std::string("the bound is not one");
   out.gap = 0;
   const auto quick = exhaustive::value(fast.score);
   out.worse_later = quick != *best;
@@ -392,8 +398,7 @@
 
 TEST(Solver, AcceleratorsLeftOnEachMachineButNeverEnoughOnOne) {
   Problem problem;
-  for (int i = 0; i < 4; ++i)
-    problem.machines.push_back(machine("m" + std::to_string(i), 8, "a", 64, 1));
+  for (int i = 0; i < 4; ++i) problem.machines.push_back(machine(numbered("m", i), 8, "a", 64, 1));
   problem.jobs = {job("wide", 1, 1)};
   problem.jobs[0].per_task.of[gpus] = 2 * kOne;
   const auto found = search_exact(problem).best;
@@ -430,7 +435,7 @@
 
 TEST(Solver, AHundredThousandTasks) {
   Problem problem;
-  for (int i = 0; i < 200; ++i) problem.machines.push_back(machine("m" + std::to_string(i), 400));
+  for (int i = 0; i < 200; ++i) problem.machines.push_back(machine(numbered("m", i), 400));
   problem.jobs = {job("large", 100'000, 1)};
   const auto found = search_fast(problem, {1, 0, 1});
   EXPECT_EQ(placed(found.placement, 0), 80'000U);
@@ -459,9 +464,8 @@
 
 TEST(Solver, FortyEqualMachines) {
   Problem problem;
-  for (int i = 0; i < 40; ++i) problem.machines.push_back(machine("m" + std::to_string(i), 4));
-  for (int i = 0; i < 6; ++i)
-    problem.jobs.push_back(job("j" + std::to_string(i), 3, i % 2 ? 3 : 1));
+  for (int i = 0; i < 40; ++i) problem.machines.push_back(machine(numbered("m", i), 4));
+  for (int i = 0; i < 6; ++i) problem.jobs.push_back(job(numbered("j", i), 3, i % 2 ? 3 : 1));
   const auto exact = search_exact(problem);
   EXPECT_TRUE(exact.proven);
   EXPECT_EQ(exact.best.score.machines, 9);
