The leader logs what the rented machines were paid for, in parts that add up

Change: src/advice/spending samples the fleet with the summary, shares each machine's price out by its most used resource, and is logged every half minute.

--- /dev/null
+++ b/src/advice/spending.cpp
@@ -0,0 +1,77 @@
+#include "advice/spending.hpp"
+
+#include <iomanip>
+#include <numeric>
+#include <sstream>
+
+namespace violetpulley::advice {
+
+namespace {
+
+// What a machine is used for, in shares that add up to 1.
+using Shares = std::array<double, kUses>;
+
+double share_of(const core::Resources& part, const core::Resources& whole) {
+  double most = 0;
+  if (whole.cpus > 0) most = std::max(most, part.cpus / whole.cpus);
+  if (whole.gpus > 0) most = std::max(most, part.gpus / whole.gpus);
+  if (whole.memory_gb > 0) most = std::max(most, part.memory_gb / whole.memory_gb);
+  return most;
+}
+
+Use use_of(const core::Assignment& assignment) {
+  if (assignment.stop || assignment.abandoned) return Use::stopping;
+  return assignment.running_since ? Use::running : Use::fetching;
+}
+
+Shares shares_of(const core::Machine& machine) {
+  Shares out{};
+  const auto all_of_it = [&](Use use) {
+    out[static_cast<std::size_t>(use)] = 1;
+    return out;
+  };
+  if (!machine.up()) return all_of_it(Use::booting);
+  if (machine.tasks.empty())
+    return all_of_it(machine.reserved_for.empty() ? Use::empty : Use::reserved);
+  double sum = 0;
+  for (const auto& [key, assignment] : machine.tasks) {
+    const auto share = share_of(assignment.resources, machine.capacity);
+    out[static_cast<std::size_t>(use_of(assignment))] += share;
+    sum += share;
+  }
+  // Tasks of different shapes together take less than the sum of their greatest shares.
+  const auto used = std::min(1.0, share_of(machine.used, machine.capacity));
+  if (sum > 0)
+    for (auto& share : out) share *= used / sum;
+  out[static_cast<std::size_t>(Use::beside)] = 1 - (sum > 0 ? used : 0);
+  return out;
+}
+
+}  // namespace
+
+void Spending::sample(const core::Fleet& fleet, core::TimePoint now) {
+  const auto since = last_ ? core::Seconds(now - *last_) : core::Seconds(0);
+  last_ = now;
+  if (since <= core::Seconds(0)) return;
+  const double hours = std::chrono::duration<double, std::ratio<3600>>(since).count();
+  for (const auto& [id, machine] : fleet.all()) {
+    const auto shares = shares_of(machine);
+    for (std::size_t use = 0; use < kUses; ++use) paid_[use] += shares[use] * machine.price * hours;
+  }
+}
+
+double Spending::paid() const { return std::accumulate(paid_.begin(), paid_.end(), 0.0); }
+
+std::string Spending::text() const {
+  static constexpr std::array<const char*, kUses> kNames{
+      "running", "fetching", "stopping", "free beside work", "empty", "reserved", "booting"};
+  std::ostringstream out;
+  const auto all = paid();
+  out << std::fixed << std::setprecision(2) << "spent " << all;
+  for (std::size_t use = 0; use < kUses && all > 0; ++use)
+    out << (use == 0 ? ": " : ", ") << kNames[use] << " " << std::setprecision(1)
+        << paid_[use] / all * 100 << "%";
+  return out.str();
+}
+
+}  // namespace violetpulley::advice
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr std::uint64_t kSpendingEvery = 6;  // summaries
 constexpr milliseconds kTick{100};
 constexpr std::chrono::minutes kDeafRemembered{3};
 constexpr std::chrono::seconds kListEvery{10};
@@ -362,6 +363,8 @@
     if (now - last_summary_ > std::chrono::seconds(5)) {
       last_summary_ = now;
       spdlog::info("{}", controller_->summary());
+      spending_.sample(controller_->fleet(), now);
+      if (++summaries_ % kSpendingEvery == 0) spdlog::info("{}", spending_.text());
     }
     every();
   });
--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -2,6 +2,7 @@
 // core asks for. It exists only while this node leads.
 #pragma once
 
+#include "advice/spending.hpp"
 #include "agent/orders_sender.hpp"
 #include "cloud/cloud_client.hpp"
 #include "config/history_settings.hpp"
@@ -93,6 +94,8 @@
   bool recovered_ = false;  // and said so
   core::TimePoint last_list_{};
   core::TimePoint last_summary_{};
+  advice::Spending spending_;
+  std::uint64_t summaries_ = 0;
   bool listing_ = false;
 };
 
--- a/src/solver/filling.cpp
+++ b/src/solver/filling.cpp
@@ -9,8 +9,9 @@
 Filling::Filling(const Problem& problem, bool keep_movable, std::uint64_t most_steps)
     : problem_(problem), state_(problem), most_steps_(most_steps) {
   for (std::size_t j = 0; j < problem.jobs.size(); ++j)
-    for (std::size_t m = 0; m < problem.machines.size(); ++m)
-      if (keep_movable || !problem.jobs[j].movable) state_.add(j, m, problem.jobs[j].home_on(m));
+    if (!problem.jobs[j].home.empty() && (keep_movable || !problem.jobs[j].movable))
+      for (std::size_t m = 0; m < problem.machines.size(); ++m)
+        state_.add(j, m, problem.jobs[j].home_on(m));
 }
 
 Filling::Filling(const Problem& problem, const Placement& placement, std::uint64_t most_steps)
@@ -51,7 +52,7 @@
   std::vector<std::pair<Rank, std::size_t>> ranked;
   for (std::size_t m = 0; m < problem_.machines.size(); ++m) {
     ++steps_;
-    if (m == not_on || state_.most(j, m) == 0) continue;
+    if (m == not_on || state_.full_for(j, m) || state_.most(j, m) == 0) continue;
     const auto& machine = problem_.machines[m];
     const auto bins = state_.bins(m);
     Amount mixing = 0;
--- a/src/solver/model.cpp
+++ b/src/solver/model.cpp
@@ -79,18 +79,21 @@
   for (const auto& team : problem.teams)
     for (const auto r : {cpus, gpus})
       out.guaranteed += std::min(team.guaranteed.of[r], used[team.name].of[r]);
-  for (std::size_t m = 0; m < problem.machines.size(); ++m) {
-    std::optional<std::pair<int, int>> bins;
-    for (std::size_t j = 0; j < problem.jobs.size(); ++j) {
+  std::vector<std::optional<std::pair<int, int>>> bins(problem.machines.size());
+  for (std::size_t j = 0; j < problem.jobs.size(); ++j) {
+    const auto bin = problem.jobs[j].bin;
+    for (std::size_t m = 0; m < problem.machines.size(); ++m) {
       if (placement[j][m] == 0) continue;
-      const auto bin = problem.jobs[j].bin;
-      bins = bins ? std::pair(std::min(bins->first, bin), std::max(bins->second, bin))
-                  : std::pair(bin, bin);
+      auto& range = bins[m];
+      range = range ? std::pair(std::min(range->first, bin), std::max(range->second, bin))
+                    : std::pair(bin, bin);
     }
-    if (!bins) continue;
+  }
+  for (std::size_t m = 0; m < problem.machines.size(); ++m) {
+    if (!bins[m]) continue;
     const auto& machine = problem.machines[m];
     ++out.machines;
-    out.price += machine.price + mixing_cost(machine, bins->first, bins->second);
+    out.price += machine.price + mixing_cost(machine, bins[m]->first, bins[m]->second);
   }
   return out;
 }
--- a/src/solver/state.hpp
+++ b/src/solver/state.hpp
@@ -21,6 +21,14 @@
   std::uint32_t tasks_on(std::size_t machine) const { return tasks_on_[machine]; }
   const std::string& zone_of(std::size_t machine) const { return problem_->machines[machine].zone; }
 
+  // Not one task of the job has room. Most of what a round looks at is full.
+  bool full_for(std::size_t job, std::size_t machine) const {
+    const auto& wanted = problem_->jobs[job].per_task.of;
+    const auto& free = free_[machine].of;
+    for (std::size_t r = 0; r < kResources; ++r)
+      if (wanted[r] > free[r] && wanted[r] > 0) return true;
+    return false;
+  }
   // How many more tasks of the job this machine could take by its room, the job's own limits and
   // its team's. For a gang that says nothing about the rest of it.
   std::uint32_t most(std::size_t job, std::size_t machine, const Relaxed& relaxed = {}) const;
--- a/tests/why_test.cpp
+++ b/tests/why_test.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "advice/spending.hpp"
 #include "api/operator_api.hpp"
 #include "core/events.hpp"
 
@@ -141,6 +142,30 @@
   EXPECT_FALSE(advice::why(*controller_, teams_, types_, "unknown", now_));
 }
 
+TEST_F(Why, WhatIsSpentAddsUp) {
+  advice::Spending spending;
+  spending.sample(controller_->fleet(), now_);
+  EXPECT_EQ(spending.paid(), 0);
+  EXPECT_EQ(spending.text(), "spent 0.00");
+  // An hour of two empty machines, at 2 each.
+  now_ += std::chrono::hours(1);
+  spending.sample(controller_->fleet(), now_);
+  EXPECT_DOUBLE_EQ(spending.paid_for(advice::Use::empty), 4);
+  // Three tasks of four processors on machines of 16: 12 of 32 processors are used. One is on
+  // each machine at least, or else its machine is empty.
+  open("some", 3, {4, 0, 1});
+  settle();
+  ASSERT_EQ(why("some").on_machines, 3U);
+  spending.sample(controller_->fleet(), now_);
+  const auto before = spending;
+  now_ += std::chrono::hours(1);
+  spending.sample(controller_->fleet(), now_);
+  const auto paid = [&](advice::Use use) { return spending.paid_for(use) - before.paid_for(use); };
+  EXPECT_DOUBLE_EQ(paid(advice::Use::running), 4 * 12 / 32.0);
+  EXPECT_DOUBLE_EQ(paid(advice::Use::beside) + paid(advice::Use::empty), 4 * 20 / 32.0);
+  EXPECT_DOUBLE_EQ(spending.paid() - before.paid(), 4);
+}
+
 class Asked : public Why {
  protected:
   net::Response ask(const api::OperatorApi& of, const std::string& method,
