Solver: machines are sorted only as far as a job has tasks

Cause: each job sorted all machines with room, also for one task or to find the first.

Change: as many as can be needed come in order; with zone limits all of them, as before.

--- a/src/solver/filling.cpp
+++ b/src/solver/filling.cpp
@@ -46,7 +46,8 @@
 
 // Its own places first, then machines in use before empty ones, those of its bin before others
 // (DESIGN), rented before not, and the fullest first.
-std::vector<std::size_t> Filling::in_order(std::size_t j, std::optional<std::size_t> not_on) {
+std::vector<std::size_t> Filling::in_order(std::size_t j, std::optional<std::size_t> not_on,
+                                           std::size_t enough) {
   const auto& job = problem_.jobs[j];
   using Rank = std::tuple<bool, bool, Amount, bool, Amount, std::int64_t>;
   std::vector<std::pair<Rank, std::size_t>> ranked;
@@ -68,9 +69,11 @@
                              bins ? 0 : machine.price, left},
                         m);
   }
-  std::sort(ranked.begin(), ranked.end());
+  enough = std::min(enough, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(enough),
+                    ranked.end());
   std::vector<std::size_t> out;
-  for (const auto& entry : ranked) out.push_back(entry.second);
+  for (std::size_t i = 0; i < enough; ++i) out.push_back(ranked[i].second);
   return out;
 }
 
@@ -94,7 +97,9 @@
 void Filling::place(std::size_t j, std::optional<std::size_t> not_on) {
   const auto& job = problem_.jobs[j];
   if (state_.placed(j) == job.tasks) return;
-  const auto machines = in_order(j, not_on);
+  // Each of them takes a task, unless zones are limited: then it is not known how many it needs.
+  const bool zoned = job.same_zone || job.spread;
+  const auto machines = in_order(j, not_on, zoned ? SIZE_MAX : job.tasks - state_.placed(j));
   if (!job.same_zone || state_.placed(j) > 0) {
     const auto begun = mark();
     place_in(j, machines);
@@ -141,7 +146,7 @@
   if (job.shape != Shape::gang) return room_for_one(j, depth, {});
   // Zones are not tried one by one here: rounds of taking out and placing anew do that.
   while (state_.placed(j) < job.tasks) {
-    const auto machines = in_order(j, {});
+    const auto machines = in_order(j, {}, 1);
     if (!machines.empty()) {
       change(j, machines.front(), 1);
     } else if (!room_for_one(j, depth, {})) {
@@ -182,7 +187,7 @@
     change(j, m, 1);
     bool all = true;
     while (all && taken > 0) {
-      const auto elsewhere = in_order(other, m);
+      const auto elsewhere = in_order(other, m, 1);
       if (!elsewhere.empty()) {
         const auto count = std::min(taken, state_.most(other, elsewhere.front()));
         change(other, elsewhere.front(), count);
--- a/src/solver/filling.hpp
+++ b/src/solver/filling.hpp
@@ -41,7 +41,9 @@
   };
   void change(std::size_t job, std::size_t machine, std::int64_t delta);
   void place_in(std::size_t job, const std::vector<std::size_t>& machines);
-  std::vector<std::size_t> in_order(std::size_t job, std::optional<std::size_t> not_on);
+  // The first `enough` of the machines that have room for a task, the best first.
+  std::vector<std::size_t> in_order(std::size_t job, std::optional<std::size_t> not_on,
+                                    std::size_t enough);
   bool room_for_one(std::size_t job, int depth, std::optional<std::size_t> not_on);
   bool room_on(std::size_t job, std::size_t machine, int depth);
 
