One piece of code where the solver and the operators' address had several

Found by reading the change once more: a State was filled from a placement by hand in six places and what may not be moved in two; the errors of the two APIs, the text of an endpoint and the length of a chain of moves stood twice; a parameter of Filling::place, a count derivable from the bins and a check that State::most makes anyway served nothing.

Change: State takes a placement, homes() may leave out what is movable, api/answers.hpp and net::text_of serve both.

--- a/src/advice/why.cpp
+++ b/src/advice/why.cpp
@@ -120,10 +120,7 @@
 }
 
 bool fits_now(const solver::Problem& problem) {
-  solver::State state(problem);
-  for (std::size_t m = 0; m < problem.machines.size(); ++m)
-    state.add(0, m, problem.jobs[0].home_on(m));
-  return fits(state, 0);
+  return fits(solver::State(problem, homes(problem)), 0);
 }
 
 // The time after which so many tasks of others have ended that it fits.
--- a/src/api/operator_api.cpp
+++ b/src/api/operator_api.cpp
@@ -1,6 +1,6 @@
 #include "api/operator_api.hpp"
 
-#include <nlohmann/json.hpp>
+#include "api/answers.hpp"
 
 namespace violetpulley::api {
 
@@ -11,14 +11,9 @@
 constexpr double kQuestionsPerSecond = 5;
 constexpr std::chrono::milliseconds kPassedOnFor{1500};
 constexpr std::size_t kPassedOnAtOnce = 2;
+constexpr std::chrono::seconds kRetry{1};
 const std::string kPassedOn = "?passed-on";
 
-net::Response refusal(int status, const std::string& problem) {
-  const bool later = status == 429 || status == 503;
-  return {status, Json{{"error", problem}}.dump(),
-          later ? std::optional(std::chrono::seconds(1)) : std::nullopt};
-}
-
 net::ServerLimits limits() {
   net::ServerLimits out;
   out.max_connections = 16;
@@ -66,36 +61,36 @@
   path = path.substr(0, path.find('?'));
   if (!path.starts_with(jobs) || !path.ends_with(suffix) ||
       path.size() <= jobs.size() + suffix.size())
-    return respond(refusal(404, "no such path"));
-  if (request.method != "GET") return respond(refusal(405, "method not allowed"));
+    return respond(error(404, "no such path"));
+  if (request.method != "GET") return respond(error(405, "method not allowed"));
   const auto id = path.substr(jobs.size(), path.size() - jobs.size() - suffix.size());
-  if (id.find('/') != std::string::npos) return respond(refusal(404, "no such path"));
+  if (id.find('/') != std::string::npos) return respond(error(404, "no such path"));
   why(id, passed_on, respond);
 }
 
 void OperatorApi::why(const core::JobId& id, bool passed_on, const net::Responder& respond) {
   const auto now = core::Clock::now();
-  if (!questions_.take(now)) return respond(refusal(429, "too many questions at once"));
+  if (!questions_.take(now)) return respond(error(429, "too many questions at once", kRetry));
   const auto* controller = environment_.leading();
   if (controller == nullptr) {
     // A question goes one step and no further, whoever leads by then.
-    if (passed_on) return respond(refusal(503, "this controller does not lead"));
+    if (passed_on) return respond(error(503, "this controller does not lead", kRetry));
     return pass_on(id, respond);
   }
   const auto advice = advice::why(*controller, environment_.teams, environment_.types(), id, now);
-  if (!advice) return respond(refusal(404, "no such open job"));
+  if (!advice) return respond(error(404, "no such open job"));
   respond({200, advice_text(*advice), {}});
 }
 
 void OperatorApi::pass_on(const core::JobId& id, const net::Responder& respond) {
   const auto leader = environment_.leader();
-  if (!leader) return respond(refusal(503, "no leader is known"));
+  if (!leader) return respond(error(503, "no leader is known", kRetry));
   auto& client = leaders_.try_emplace(*leader, io_, *leader, kPassedOnAtOnce).first->second;
   client.request({"GET", "/v1/jobs/" + id + "/why" + kPassedOn, ""}, kPassedOnFor,
                  [respond](std::optional<net::Response> response) {
-                   if (!response) return respond(refusal(503, "the leader did not answer"));
+                   if (!response) return respond(error(503, "the leader did not answer", kRetry));
                    if (response->status == 429 || response->status == 503)
-                     response->retry_after = std::chrono::seconds(1);
+                     response->retry_after = kRetry;
                    respond(std::move(*response));
                  });
 }
--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "api/answers.hpp"
 #include "api/job_codec.hpp"
 #include "wall_clock.hpp"
 
@@ -18,14 +19,8 @@
 constexpr std::chrono::milliseconds kLongestWait{1000};
 constexpr std::chrono::seconds kLongestRetry{25};
 
-net::Response error(int status, const std::string& text) {
-  return {status, Json{{"error", text}}.dump(), {}};
-}
-
 net::Response unavailable(const std::string& text, std::chrono::seconds retry) {
-  auto response = error(503, text);
-  response.retry_after = retry;
-  return response;
+  return error(503, text, retry);
 }
 
 net::Response try_again() {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,6 +10,10 @@
 using asio::ip::tcp;
 using std::chrono::steady_clock;
 
+std::string text_of(const asio::ip::tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
 tcp::endpoint parse_endpoint(const std::string& text) {
   const auto colon = text.rfind(':');
   if (colon == std::string::npos) throw std::invalid_argument("'" + text + "' is not IP:PORT");
@@ -159,7 +163,7 @@
                        std::size_t max_response)
     : io_(io),
       peer_(std::move(peer)),
-      host_(peer_.address().to_string() + ":" + std::to_string(peer_.port())),
+      host_(text_of(peer_)),
       max_connections_(max_connections),
       max_response_(max_response) {}
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -51,5 +51,7 @@
 };
 
 asio::ip::tcp::endpoint parse_endpoint(const std::string& text);
+// "127.0.0.1:7400"
+std::string text_of(const asio::ip::tcp::endpoint& at);
 
 }  // namespace violetpulley::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -111,8 +111,7 @@
       api::OperatorApi::Environment{
           settings_.teams, [this]() -> const std::vector<core::MachineType>& { return types_; },
           leading, leader});
-  spdlog::info("operators may ask at {} why a job waits",
-               at.address().to_string() + ":" + std::to_string(at.port()));
+  spdlog::info("operators may ask at {} why a job waits", net::text_of(at));
 }
 
 void Node::won() {
--- a/src/solver/exact.cpp
+++ b/src/solver/exact.cpp
@@ -2,7 +2,6 @@
 // machines; of machines that are alike by then only one order is tried. A branch is left when
 // nothing in it can be better than the best found, part by part of the score.
 #include <algorithm>
-#include <numeric>
 #include <tuple>
 
 #include "solver/solver.hpp"
@@ -17,16 +16,10 @@
       : problem_(problem),
         first_(first),
         most_steps_(most_steps),
-        state_(problem),
+        state_(problem, homes(problem, false)),
         priorities_(priorities_of(problem)),
         decided_(problem.jobs.size()) {
-    for (std::size_t j = 0; j < problem.jobs.size(); ++j) {
-      order_.push_back(j);
-      // What may not be moved is there from the start, whatever comes before it.
-      if (problem.jobs[j].movable) continue;
-      for (std::size_t m = 0; m < problem.machines.size(); ++m)
-        state_.add(j, m, problem.jobs[j].home_on(m));
-    }
+    for (std::size_t j = 0; j < problem.jobs.size(); ++j) order_.push_back(j);
     std::stable_sort(order_.begin(), order_.end(), [&](std::size_t a, std::size_t b) {
       const auto& left = problem.jobs[a];
       const auto& right = problem.jobs[b];
@@ -197,7 +190,7 @@
   const Problem& problem_;
   Effort first_;
   std::uint64_t most_steps_;
-  State state_;
+  State state_;  // what may not be moved is there from the start, whatever comes before it
   std::vector<int> priorities_;
   std::vector<bool> decided_;
   std::vector<std::size_t> order_;
--- a/src/solver/fast.cpp
+++ b/src/solver/fast.cpp
@@ -14,8 +14,6 @@
 
 using Order = std::vector<std::size_t>;
 
-constexpr int kChain = 2;  // moves that one move may set off
-
 // By priority, those that are hard to place first among equals.
 Order by_size(const Problem& problem) {
   Room all;
@@ -60,7 +58,7 @@
     auto order = by_size(problem_);
     for (std::uint32_t i = 0; i < effort_.orders; ++i) {
       for (const bool keep_movable : {true, false}) {
-        Filling filling(problem_, keep_movable, left());
+        Filling filling(problem_, homes(problem_, keep_movable), left());
         complete(filling, order);
         keep_if_better(filling);
         if (std::all_of(problem_.jobs.begin(), problem_.jobs.end(),
@@ -100,7 +98,7 @@
     const auto begin = random_() % problem_.machines.size();
     for (std::size_t i = 0; i < problem_.machines.size(); ++i) {
       const auto m = (begin + i) % problem_.machines.size();
-      if (filling.state().tasks_on(m) > 0) return m;
+      if (filling.state().bins(m)) return m;
     }
     return begin;
   }
@@ -139,7 +137,7 @@
 }
 
 Found fill(const Problem& problem) {
-  Filling filling(problem, true, 0);
+  Filling filling(problem, homes(problem), 0);
   for (const auto j : by_size(problem)) filling.place(j);
   return {filling.state().placement(), score_of(problem, filling.state().placement()),
           filling.steps()};
--- a/src/solver/filling.cpp
+++ b/src/solver/filling.cpp
@@ -1,24 +1,12 @@
 #include "solver/filling.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 namespace violetpulley::solver {
 
-Filling::Filling(const Problem& problem, bool keep_movable, std::uint64_t most_steps)
-    : problem_(problem), state_(problem), most_steps_(most_steps) {
-  for (std::size_t j = 0; j < problem.jobs.size(); ++j)
-    if (!problem.jobs[j].home.empty() && (keep_movable || !problem.jobs[j].movable))
-      for (std::size_t m = 0; m < problem.machines.size(); ++m)
-        state_.add(j, m, problem.jobs[j].home_on(m));
-}
-
 Filling::Filling(const Problem& problem, const Placement& placement, std::uint64_t most_steps)
-    : problem_(problem), state_(problem), most_steps_(most_steps) {
-  for (std::size_t j = 0; j < problem.jobs.size(); ++j)
-    for (std::size_t m = 0; m < problem.machines.size(); ++m) state_.add(j, m, placement[j][m]);
-}
+    : problem_(problem), state_(problem, placement), most_steps_(most_steps) {}
 
 void Filling::change(std::size_t job, std::size_t machine, std::int64_t delta) {
   if (delta > 0)
@@ -53,7 +41,7 @@
   std::vector<std::pair<Rank, std::size_t>> ranked;
   for (std::size_t m = 0; m < problem_.machines.size(); ++m) {
     ++steps_;
-    if (m == not_on || state_.full_for(j, m) || state_.most(j, m) == 0) continue;
+    if (m == not_on || state_.most(j, m) == 0) continue;
     const auto& machine = problem_.machines[m];
     const auto bins = state_.bins(m);
     Amount mixing = 0;
@@ -94,12 +82,12 @@
   }
 }
 
-void Filling::place(std::size_t j, std::optional<std::size_t> not_on) {
+void Filling::place(std::size_t j) {
   const auto& job = problem_.jobs[j];
   if (state_.placed(j) == job.tasks) return;
   // Each of them takes a task, unless zones are limited: then it is not known how many it needs.
   const bool zoned = job.same_zone || job.spread;
-  const auto machines = in_order(j, not_on, zoned ? SIZE_MAX : job.tasks - state_.placed(j));
+  const auto machines = in_order(j, {}, zoned ? SIZE_MAX : job.tasks - state_.placed(j));
   if (!job.same_zone || state_.placed(j) > 0) {
     const auto begun = mark();
     place_in(j, machines);
--- a/src/solver/filling.hpp
+++ b/src/solver/filling.hpp
@@ -8,12 +8,12 @@
 
 namespace violetpulley::solver {
 
+// Moves that one move may set off.
+inline constexpr int kChain = 2;
+
 class Filling {
  public:
-  // With everything that runs now where it is; `keep_movable` false: without what may be moved.
-  // No room is made after so many steps.
-  Filling(const Problem& problem, bool keep_movable, std::uint64_t most_steps);
-  // From a placement that keeps every limit.
+  // From a placement that keeps every limit. No room is made after so many steps.
   Filling(const Problem& problem, const Placement& placement, std::uint64_t most_steps);
 
   const State& state() const { return state_; }
@@ -23,8 +23,8 @@
   Mark mark() const { return trail_.size(); }
   void back_to(Mark mark);
 
-  // As many tasks of the job as fit, a gang whole or not at all, on machines other than `not_on`.
-  void place(std::size_t job, std::optional<std::size_t> not_on = {});
+  // As many tasks of the job as fit, a gang whole or not at all.
+  void place(std::size_t job);
   // Whether one task, or the whole gang, came in by moving others, each of them moved on at most
   // `depth` times in a chain. If not, nothing is changed.
   bool make_room(std::size_t job, int depth);
--- a/src/solver/model.cpp
+++ b/src/solver/model.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <map>
-#include <numeric>
 
 namespace violetpulley::solver {
 
@@ -28,10 +27,10 @@
 
 std::uint32_t most_in_zone(const Job& job) { return (job.tasks + 1) / 2; }
 
-Placement homes(const Problem& problem) {
+Placement homes(const Problem& problem, bool movable) {
   Placement out;
   for (const auto& job : problem.jobs) {
-    out.push_back(job.home);
+    out.push_back(movable || !job.movable ? job.home : std::vector<std::uint32_t>());
     out.back().resize(problem.machines.size());
   }
   return out;
--- a/src/solver/model.hpp
+++ b/src/solver/model.hpp
@@ -113,8 +113,8 @@
 bool allowed_on(const Job& job, const Machine& machine, const Relaxed& relaxed = {});
 // How many tasks of a spread job may be in one zone.
 std::uint32_t most_in_zone(const Job& job);
-// The placement as it is now.
-Placement homes(const Problem& problem);
+// The placement as it is now; `movable` false: without what may be moved.
+Placement homes(const Problem& problem, bool movable = true);
 Score score_of(const Problem& problem, const Placement& placement);
 // The first limit that a placement breaks, in words; none: it keeps all.
 std::optional<std::string> broken_limit(const Problem& problem, const Placement& placement);
--- a/src/solver/reasons.cpp
+++ b/src/solver/reasons.cpp
@@ -10,16 +10,8 @@
 
 namespace {
 
-constexpr int kChain = 2;
 constexpr std::uint64_t kMoveSteps = 200'000;  // an answer is awaited
 
-State state_of(const Problem& problem, const Placement& placement) {
-  State state(problem);
-  for (std::size_t j = 0; j < problem.jobs.size(); ++j)
-    for (std::size_t m = 0; m < problem.machines.size(); ++m) state.add(j, m, placement[j][m]);
-  return state;
-}
-
 std::uint32_t fill_zone(State& state, std::size_t j, const std::optional<std::string>& zone,
                         const Relaxed& relaxed) {
   const auto before = state.placed(j);
@@ -66,7 +58,7 @@
       if (other != j && problem.jobs[other].bin <= bin &&
           problem.jobs[other].shape != Shape::service)
         later[other].assign(problem.machines.size(), 0);
-    if (!fits(state_of(problem, later), j)) continue;
+    if (!fits(State(problem, later), j)) continue;
     out.kind = Remedy::Kind::wait;
     out.bin = bin;
     return out;
@@ -170,7 +162,7 @@
 
 Why explain(const Problem& problem, const Placement& placement, std::size_t j) {
   Why out;
-  const auto state = state_of(problem, placement);
+  const State state(problem, placement);
   out.missing = problem.jobs[j].tasks - state.placed(j);
   if (out.missing == 0) return out;
   out.no_machines = problem.machines.empty();
--- a/src/solver/state.cpp
+++ b/src/solver/state.cpp
@@ -1,7 +1,6 @@
 #include "solver/state.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace violetpulley::solver {
 
@@ -9,7 +8,6 @@
     : problem_(&problem),
       placement_(problem.jobs.size(), std::vector<std::uint32_t>(problem.machines.size())),
       placed_(problem.jobs.size()),
-      tasks_on_(problem.machines.size()),
       team_use_(problem.teams.size()),
       bins_(problem.machines.size()) {
   std::map<std::string, std::size_t> zones;
@@ -25,6 +23,11 @@
   }
 }
 
+State::State(const Problem& problem, const Placement& placement) : State(problem) {
+  for (std::size_t j = 0; j < problem.jobs.size(); ++j)
+    for (std::size_t m = 0; m < problem.machines.size(); ++m) add(j, m, placement[j][m]);
+}
+
 std::uint32_t State::most(std::size_t j, std::size_t m, const Relaxed& relaxed) const {
   const auto& job = problem_->jobs[j];
   // What is full is most of what a round looks at, so that is seen first.
@@ -54,7 +57,6 @@
   placement_[j][m] += count;
   placed_[j] += count;
   free_[m] -= job.per_task * count;
-  tasks_on_[m] += count;
   if (team_[j]) team_use_[*team_[j]] += job.per_task * count;
   zones_[j][zone_[m]] += count;
   bins_[m][job.bin] += count;
@@ -66,7 +68,6 @@
   placement_[j][m] -= count;
   placed_[j] -= count;
   free_[m] += job.per_task * count;
-  tasks_on_[m] -= count;
   if (team_[j]) team_use_[*team_[j]] -= job.per_task * count;
   zones_[j][zone_[m]] -= count;
   const auto bin = bins_[m].find(job.bin);
--- a/src/solver/state.hpp
+++ b/src/solver/state.hpp
@@ -12,23 +12,15 @@
  public:
   // Empty: not even what runs now is placed.
   explicit State(const Problem& problem);
+  State(const Problem& problem, const Placement& placement);
 
   const Problem& problem() const { return *problem_; }
   const Placement& placement() const { return placement_; }
   std::uint32_t on(std::size_t job, std::size_t machine) const { return placement_[job][machine]; }
   std::uint32_t placed(std::size_t job) const { return placed_[job]; }
   const Room& free(std::size_t machine) const { return free_[machine]; }
-  std::uint32_t tasks_on(std::size_t machine) const { return tasks_on_[machine]; }
   const std::string& zone_of(std::size_t machine) const { return problem_->machines[machine].zone; }
 
-  // Not one task of the job has room. Most of what a round looks at is full.
-  bool full_for(std::size_t job, std::size_t machine) const {
-    const auto& wanted = problem_->jobs[job].per_task.of;
-    const auto& free = free_[machine].of;
-    for (std::size_t r = 0; r < kResources; ++r)
-      if (wanted[r] > free[r] && wanted[r] > 0) return true;
-    return false;
-  }
   // How many more tasks of the job this machine could take by its room, the job's own limits and
   // its team's. For a gang that says nothing about the rest of it.
   std::uint32_t most(std::size_t job, std::size_t machine, const Relaxed& relaxed = {}) const;
@@ -43,7 +35,6 @@
   Placement placement_;
   std::vector<std::uint32_t> placed_;
   std::vector<Room> free_;
-  std::vector<std::uint32_t> tasks_on_;
   std::vector<std::optional<std::size_t>> team_;  // of each job, if it has limits
   std::vector<Room> team_use_;
   std::vector<std::size_t> zone_;                  // of each machine, by number
--- a/src/solver/steps.cpp
+++ b/src/solver/steps.cpp
@@ -11,10 +11,7 @@
 class Steps {
  public:
   Steps(const Problem& problem, const Placement& from, const Placement& to)
-      : problem_(problem), to_(to), state_(problem) {
-    for (std::size_t j = 0; j < problem.jobs.size(); ++j)
-      for (std::size_t m = 0; m < problem.machines.size(); ++m) state_.add(j, m, from[j][m]);
-  }
+      : problem_(problem), to_(to), state_(problem, from) {}
 
   std::vector<Step> run() {
     for (std::size_t j = 0; j < problem_.jobs.size(); ++j) stop_what_ends(j);
--- a/tests/solver_test.cpp
+++ b/tests/solver_test.cpp
@@ -127,9 +127,7 @@
 constexpr std::uint64_t kSteps = 400'000;
 
 std::string check_reasons(const Problem& problem, const Placement& placement, Checked& out) {
-  State state(problem);
-  for (std::size_t j = 0; j < problem.jobs.size(); ++j)
-    for (std::size_t m = 0; m < problem.machines.size(); ++m) state.add(j, m, placement[j][m]);
+  const State state(problem, placement);
   for (std::size_t j = 0; j < problem.jobs.size(); ++j) {
     const auto why = explain(problem, placement, j);
     if (why.missing == 0) continue;
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -17,9 +17,7 @@
 
 inline asio::ip::tcp::endpoint any_port() { return {asio::ip::make_address("127.0.0.1"), 0}; }
 
-inline std::string text_of(const asio::ip::tcp::endpoint& at) {
-  return at.address().to_string() + ":" + std::to_string(at.port());
-}
+using net::text_of;
 
 inline std::string query(const std::string& target, const std::string& name) {
   const auto at = target.find(name + "=");
