Order lines beyond the bound are closed as the answers come

Cause: after a takeover every machine is sent an empty order list at once.

Change: idle lines are kept in the order of their last use, and closed after each answer until the bound is met again. Test: Orders.ABurstLeavesNoMoreLinesThanTheBound.

--- a/src/agent/orders_sender.cpp
+++ b/src/agent/orders_sender.cpp
@@ -12,19 +12,24 @@
 constexpr std::size_t kMostCommands = 500;
 }  // namespace
 
-// Closes the idle line that was used longest ago.
-void OrdersSender::make_room() {
-  auto oldest = lines_.end();
-  for (auto line = lines_.begin(); line != lines_.end(); ++line)
-    if (line->second.client->idle() &&
-        (oldest == lines_.end() || line->second.used < oldest->second.used))
-      oldest = line;
-  if (oldest != lines_.end()) lines_.erase(oldest);
+void OrdersSender::erase(const core::MachineId& machine) {
+  const auto found = lines_.find(machine);
+  if (found == lines_.end()) return;
+  idle_.erase({found->second.used, machine});
+  lines_.erase(found);
+}
+
+// One closed line for each new one is not enough: after a takeover every machine is asked at once,
+// all lines are busy, and what a burst opened stayed for ever. With as many lines as machines the
+// workers' own connections found no room for longer than a lease (docs/incidents/lines.md).
+void OrdersSender::close_down_to(std::size_t most) {
+  while (lines_.size() > most && !idle_.empty()) erase(core::MachineId(idle_.begin()->second));
 }
 
 void OrdersSender::send(const core::SendOrders& orders) {
-  if (lines_.size() >= most_lines_ && !lines_.contains(orders.machine)) make_room();
+  if (!lines_.contains(orders.machine)) close_down_to(most_lines_ - 1);
   auto& line = lines_[orders.machine];
+  idle_.erase({line.used, orders.machine});
   line.used = ++sends_;
   if (!line.client || line.endpoint != orders.endpoint) {
     try {
@@ -33,7 +38,7 @@
       line.endpoint = orders.endpoint;
     } catch (const std::invalid_argument& problem) {
       spdlog::warn("machine {}: {}", orders.machine, problem.what());
-      lines_.erase(orders.machine);
+      erase(orders.machine);
       asio::post(io_, [answered = answered_, id = orders.machine] { answered(id, nullptr); });
       return;
     }
@@ -41,21 +46,29 @@
   auto commands = orders.commands;
   if (commands.size() > kMostCommands) commands.resize(kMostCommands);
   line.client->request({"POST", "/orders", orders_body(token_, orders.session, commands)}, kTimeout,
-                       [this, id = orders.machine](std::optional<net::Response> response) {
-                         if (!response || (response->status != 200 && response->status != 409)) {
-                           spdlog::debug("machine {}: orders not answered", id);
-                           return answered_(id, nullptr);
-                         }
-                         try {
-                           const auto report = parse_report(response->body);
-                           answered_(id, &report);
-                         } catch (const std::exception& problem) {
-                           spdlog::warn("machine {} answered nonsense: {}", id, problem.what());
-                           answered_(id, nullptr);
-                         }
+                       [this, id = orders.machine](const std::optional<net::Response>& response) {
+                         answered(id, response);
                        });
 }
 
-void OrdersSender::drop(const core::MachineId& machine) { lines_.erase(machine); }
+void OrdersSender::answered(const core::MachineId& id,
+                            const std::optional<net::Response>& response) {
+  if (const auto line = lines_.find(id); line != lines_.end() && line->second.client->idle())
+    idle_.insert({line->second.used, id});
+  close_down_to(most_lines_);
+  if (!response || (response->status != 200 && response->status != 409)) {
+    spdlog::debug("machine {}: orders not answered", id);
+    return answered_(id, nullptr);
+  }
+  try {
+    const auto report = parse_report(response->body);
+    answered_(id, &report);
+  } catch (const std::exception& problem) {
+    spdlog::warn("machine {} answered nonsense: {}", id, problem.what());
+    answered_(id, nullptr);
+  }
+}
+
+void OrdersSender::drop(const core::MachineId& machine) { erase(machine); }
 
 }  // namespace violetpulley::agent
--- a/src/agent/orders_sender.hpp
+++ b/src/agent/orders_sender.hpp
@@ -1,8 +1,10 @@
 // Commands straight to the workers: one client per machine, kept while it is among the last used.
-// The sockets of a controller are limited, and a large fleet's reports already take one a machine.
+// The sockets of a controller are limited, and a large fleet's reports already take one a machine:
+// whatever a burst of orders opens beyond the bound is closed again as the answers come.
 #pragma once
 
 #include <map>
+#include <set>
 
 #include "core/actions.hpp"
 #include "net/http_client.hpp"
@@ -27,13 +29,17 @@
     std::unique_ptr<net::HttpClient> client;
     std::uint64_t used = 0;  // the larger, the later
   };
-  void make_room();
+  void answered(const core::MachineId& machine, const std::optional<net::Response>& response);
+  // Closes the idle lines that were used longest ago until `most` are left, busy ones counted.
+  void close_down_to(std::size_t most);
+  void erase(const core::MachineId& machine);
   asio::io_context& io_;
   core::Token token_;
   std::size_t most_lines_;
   std::uint64_t sends_ = 0;
   Answered answered_;
   std::map<core::MachineId, Line> lines_;
+  std::set<std::pair<std::uint64_t, core::MachineId>> idle_;  // lines by their last use
 };
 
 }  // namespace violetpulley::agent
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -7,34 +7,42 @@
 namespace violetpulley::agent {
 namespace {
 
+// Machines that answer, and the orders for them.
+struct Yard {
+  explicit Yard(asio::io_context& io) {
+    for (int i = 0; i < 6; ++i) {
+      asio::ip::tcp::acceptor probe(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
+      const auto at = probe.local_endpoint();
+      probe.close();
+      const auto id = std::to_string(i);
+      const auto endpoint = "127.0.0.1:" + std::to_string(at.port());
+      machines.push_back(std::make_unique<net::HttpServer>(
+          io, at, net::ServerLimits{},
+          [id, endpoint](net::Request&&, const net::Responder& respond) {
+            respond({200,
+                     R"({"rig":")" + id + R"(","endpoint":")" + endpoint +
+                         R"(","bench":"small","district":"a","shift":1,"tally":1})",
+                     {}});
+          }));
+      orders.push_back({id, endpoint, 1, {}});
+    }
+  }
+  std::vector<std::unique_ptr<net::HttpServer>> machines;
+  std::vector<core::SendOrders> orders;
+};
+
 // Reports take a socket a machine already; without the bound, orders would take as many again and a
 // controller of a large fleet would have none left for users.
 TEST(Orders, ReachEveryMachineOverABoundedNumberOfConnections) {
   asio::io_context io;
-  std::vector<std::unique_ptr<net::HttpServer>> machines;
-  std::vector<core::SendOrders> orders;
-  for (int i = 0; i < 6; ++i) {
-    asio::ip::tcp::acceptor probe(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
-    const auto at = probe.local_endpoint();
-    probe.close();
-    const auto id = std::to_string(i);
-    const auto endpoint = "127.0.0.1:" + std::to_string(at.port());
-    machines.push_back(std::make_unique<net::HttpServer>(
-        io, at, net::ServerLimits{}, [id, endpoint](net::Request&&, const net::Responder& respond) {
-          respond({200,
-                   R"({"rig":")" + id + R"(","endpoint":")" + endpoint +
-                       R"(","bench":"small","district":"a","shift":1,"tally":1})",
-                   {}});
-        }));
-    orders.push_back({id, endpoint, 1, {}});
-  }
+  Yard yard(io);
   std::multiset<core::MachineId> answered;
   OrdersSender sender(io, 7, 2, [&](const core::MachineId& id, const core::WorkerReport* report) {
     ASSERT_NE(report, nullptr) << id;
     answered.insert(id);
   });
   for (int round = 1; round <= 2; ++round)
-    for (const auto& order : orders) {
+    for (const auto& order : yard.orders) {
       const auto before = answered.size();
       sender.send(order);
       for (int i = 0; i < 200 && answered.size() == before; ++i)
@@ -42,7 +50,26 @@
       EXPECT_EQ(answered.size(), before + 1);
       EXPECT_LE(sender.lines(), 2U);
     }
-  for (const auto& order : orders) EXPECT_EQ(answered.count(order.machine), 2U);
+  for (const auto& order : yard.orders) EXPECT_EQ(answered.count(order.machine), 2U);
+}
+
+// Found with half as many machines again as the users' files show: after a takeover each machine
+// had a line for ever, and no socket was left for the workers' reports.
+TEST(Orders, ABurstLeavesNoMoreLinesThanTheBound) {
+  asio::io_context io;
+  Yard yard(io);
+  std::multiset<core::MachineId> answered;
+  OrdersSender sender(io, 7, 2, [&](const core::MachineId& id, const core::WorkerReport* report) {
+    ASSERT_NE(report, nullptr) << id;
+    answered.insert(id);
+  });
+  for (int round = 1; round <= 2; ++round) {
+    for (const auto& order : yard.orders) sender.send(order);
+    for (int i = 0; i < 200 && answered.size() < yard.orders.size() * round; ++i)
+      io.run_for(std::chrono::milliseconds(20));
+    EXPECT_EQ(answered.size(), yard.orders.size() * round);
+    EXPECT_LE(sender.lines(), 2U);
+  }
 }
 
 }  // namespace
