--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -17,7 +17,7 @@
       catalog_(settings_),
       jobs_(out_),
       outlooks_(settings_, estimator_, now),
-      recovery_(out_, fleet_, older_leases_end),
+      recovery_(out_, fleet_, older_leases_end, settings_.workers.lease),
       registry_(out_, fleet_),
       orders_(settings_.sockets, out_, fleet_, jobs_),
       assignments_(out_, fleet_, jobs_, recovery_),
@@ -135,8 +135,7 @@
   }
 }
 
-void Controller::tick(TimePoint now, bool may_place, TimePoint proved, Seconds late) {
-  orders_.note_late(late, now);
+void Controller::tick(TimePoint now, bool may_place, TimePoint proved) {
   recovery_.check(proved);
   reckoning_.ask(now);
   if (watch_.watch(now, proved)) clearing_.clear(now);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -46,13 +46,8 @@
   void job_closed(const JobId& id, TimePoint now);
 
   void report(const WorkerReport& report, TimePoint now) { reports_.report(report, now); }
-  // A leader that is late may give a machine its token without reading what it reports: the machine
-  // says so again under the token.
-  void told(const MachineId& machine, TimePoint now) { reports_.told(machine, now); }
-  // Whether there is so much to do that reports under older tokens are better answered so.
-  bool hurried(TimePoint now) const {
-    return recovery_.recovering() && orders_.window().behind(now);
-  }
+  // Every other controller has said, after it saw our key, that it does not lead.
+  void no_older_leader(TimePoint now) { recovery_.no_older_leader(now); }
   // Stops and forgets that travel in the answer to a report.
   std::vector<Command> response_commands(const MachineId& machine) const {
     return orders_.response_commands(machine);
@@ -74,9 +69,8 @@
   void cloud_listed(const std::vector<ListedMachine>& machines, TimePoint now);
 
   // Deadlines, placing and scaling. `may_place`: leadership may still be served. `proved`: the
-  // latest time of which it is known that nobody else led then (Leadership::contact). `late`: by
-  // how much the process ran its last timer too late, because it had too much to do.
-  void tick(TimePoint now, bool may_place, TimePoint proved, Seconds late = Seconds(0));
+  // latest time of which it is known that nobody else led then (Leadership::contact).
+  void tick(TimePoint now, bool may_place, TimePoint proved);
   std::vector<Action> take_actions() { return out_.take(); }
   bool placing_wanted() const { return out_.placing_wanted(); }
 
--- a/src/core/events.cpp
+++ b/src/core/events.cpp
@@ -21,7 +21,8 @@
                                      "machines listed",
                                      "tick",
                                      "placements saved",
-                                     "machine told"};
+
+                                     "older leaders gone"};
   static_assert(kNames.size() == std::variant_size_v<Event>);
   return kNames[event.index()];
 }
@@ -54,11 +55,11 @@
       controller.cloud_listed(e.machines, now);
     } else if constexpr (std::is_same_v<T, PlacementsSaved>) {
       controller.placements_saved(e.job, e.version);
-    } else if constexpr (std::is_same_v<T, MachineTold>) {
-      controller.told(e.machine, now);
+    } else if constexpr (std::is_same_v<T, OlderLeadersGone>) {
+      controller.no_older_leader(now);
     } else {
       static_assert(std::is_same_v<T, Ticked>);
-      controller.tick(now, e.may_place, e.proved, e.late);
+      controller.tick(now, e.may_place, e.proved);
     }
   };
   std::visit(visit, event);
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -108,10 +108,9 @@
 struct Ticked {
   bool may_place = false;
   TimePoint proved{};  // no other leader had been elected by then
-  Seconds late{0};     // by which the process ran its last timer too late
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.may_place, s.proved, s.late);
+    f(s.may_place, s.proved);
   }
 };
 
@@ -124,12 +123,12 @@
   }
 };
 
-// A machine reported under an older token and was given ours; its tasks were not looked at.
-struct MachineTold {
-  MachineId machine;
+// No older leader answers reports any more (docs/safety.md, "Older leaders that are known to be
+// gone").
+struct OlderLeadersGone {
   template <class S, class F>
-  static void fields(S& s, F&& f) {
-    f(s.machine);
+  static void fields(S&, F&& f) {
+    f();
   }
 };
 
@@ -137,7 +136,7 @@
 using Event =
     std::variant<TakenOver, CatalogKnown, JobOpened, JobClosed, MachineReported, OrdersAnswered,
                  MachineSaved, ProgressSaved, FinishAnswered, RentalAnswered, ReleaseAnswered,
-                 CloudListed, Ticked, PlacementsSaved, MachineTold>;
+                 CloudListed, Ticked, PlacementsSaved, OlderLeadersGone>;
 
 // In words, for tables and messages.
 const char* name_of(const Event& event);
--- a/src/core/machine_watch.cpp
+++ b/src/core/machine_watch.cpp
@@ -74,10 +74,7 @@
         // After a takeover most of 2,000 machines had not been asked yet when their time was over,
         // and a quarter of a healthy fleet was returned (docs/incidents/overload.md).
         const bool asked = !recovery_.waits_for(id) || reckoning_.silent(machine);
-        // Late ourselves: its answer may lie here unread.
-        const bool judged = asked && !orders_.window().behind(now);
-        const auto longest = patience + tuning.lost_after;
-        if (heard_from_most && quiet > to_duration(judged ? patience : longest))
+        if (heard_from_most && quiet > to_duration(asked ? patience : patience + tuning.lost_after))
           give_up(machine, now);
         // The lease of a machine that answers nothing has run out, and its tasks with it, unless a
         // newer leader renews it: one that is cut off and does not know yet that it was followed
--- a/src/core/order_window.hpp
+++ b/src/core/order_window.hpp
@@ -12,7 +12,16 @@
 
 class OrderWindow {
  public:
-  bool admits(std::size_t share) const { return in_flight_ < std::min(size_, share); }
+  // How many sockets orders may take. The window never falls below a quarter of that: in a storm of
+  // reports answers are slow whatever is asked, and with a window of 32 it took ten seconds to ask
+  // the few hundred machines that the storm had left out.
+  void set_share(std::size_t share) {
+    share_ = std::max(share, std::size_t{1});
+    size_ = std::clamp(size_, least(), share_);
+  }
+  bool admits(std::size_t part = 1) const { return in_flight_ * part < size_; }
+  // Stops wait for sockets alone.
+  bool admits_stops() const { return in_flight_ < share_; }
   std::size_t size() const { return size_; }
   std::size_t in_flight() const { return in_flight_; }
   std::size_t peak() const { return peak_; }
@@ -21,34 +30,25 @@
   // The machine was returned: no answer comes.
   void dropped() { in_flight_ -= in_flight_ > 0 ? 1 : 0; }
   // `took`: from the sending to the moment at which the answer was looked at.
-  void answered(Seconds took, std::size_t share, TimePoint now) {
+  void answered(Seconds took) {
     dropped();
     ++answers_;
-    note_late(took - kQuick, now);
-    if (took < kQuick) size_ = std::min(size_ + 1, std::max(share, kLeast));
+    if (took < kQuick) size_ = std::min(size_ + 1, share_);
     // A machine answers within milliseconds: what is slow is this leader's own queue.
-    if (took > kSlow) size_ = std::max(kLeast, size_ - (size_ + kShrink - 1) / kShrink);
-  }
-  // Something here was done that much later than it was due.
-  void note_late(Seconds late, TimePoint now) {
-    delay_ = std::max(late, delay_ * kKept);
-    if (delay_ > kBehind) behind_until_ = now + kBehindFor;
+    if (took > kSlow) size_ = std::max(least(), size_ - (size_ + kShrink - 1) / kShrink);
   }
-  // Answers may lie here unread: nobody else is to be judged by the time they take.
-  bool behind(TimePoint now) const { return now < behind_until_; }
   void lost(TimePoint now) {
     dropped();
     ++losses_;
     if (now - judged_ < kJudged) return;
     // Some machines are always dead: only when most are silent is it likely to be us.
-    if (losses_ > answers_) size_ = std::max(kLeast, size_ / 2);
+    if (losses_ > answers_) size_ = std::max(least(), size_ / 2);
     judged_ = now;
     answers_ = losses_ = 0;
   }
-
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.size_, s.in_flight_, s.peak_, s.answers_, s.losses_, s.delay_, s.behind_until_, s.judged_);
+    f(s.share_, s.size_, s.in_flight_, s.peak_, s.answers_, s.losses_, s.judged_);
   }
 
  private:
@@ -57,16 +57,13 @@
   static constexpr Seconds kQuick{0.1};
   static constexpr Seconds kSlow{0.25};
   static constexpr std::size_t kShrink = 16;  // by this part for each slow answer
-  static constexpr double kKept = 0.8;        // of the last delay, with each new one
-  static constexpr Seconds kBehind{0.15};
-  static constexpr std::chrono::milliseconds kBehindFor{1500};
+  std::size_t least() const { return std::min(share_, std::max(kLeast, share_ / 4)); }
+  std::size_t share_ = kLeast;
   std::size_t size_ = kLeast;
   std::size_t in_flight_ = 0;
   std::size_t peak_ = 0;
   std::size_t answers_ = 0;  // since it was last judged
   std::size_t losses_ = 0;
-  Seconds delay_{0};
-  TimePoint behind_until_{};
   TimePoint judged_{};
 };
 
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -99,9 +99,8 @@
 }
 
 std::size_t Orders::room() const {
-  const auto most = std::min(window_.size(), shares().orders);
   const auto taken = window_.in_flight() + orders_due_.size();
-  return most > taken ? most - taken : 0;
+  return window_.size() > taken ? window_.size() - taken : 0;
 }
 
 void Orders::send(TimePoint now) {
@@ -121,14 +120,12 @@
   std::sort(ready.begin(), ready.end(), [](const auto& a, const auto& b) {
     return std::tie(a.first, a.second->id) < std::tie(b.first, b.second->id);
   });
-  const auto share = shares().orders;
+  window_.set_share(shares().orders);
   for (const auto& [urgency, machine] : ready) {
-    // Stops are safety traffic and wait for the sockets alone; machines that are likely dead leave
-    // half of the window to the others.
+    // Stops are safety traffic; machines that are likely dead leave half of the window to the
+    // others.
     const auto rank = urgency.first;
-    if (rank == kStops ? window_.in_flight() >= share
-                       : !window_.admits(rank == kSilent ? share / 2 : share) ||
-                             (rank == kSilent && window_.in_flight() * 2 >= window_.size()))
+    if (rank == kStops ? !window_.admits_stops() : !window_.admits(rank == kSilent ? 2 : 1))
       continue;
     send(*machine, now);
     orders_due_.erase(machine->id);
@@ -153,12 +150,9 @@
 void Orders::answered(Machine& machine, bool any, TimePoint now) {
   fleet_.touch(machine);
   if (machine.orders_in_flight)
-    any ? window_.answered(now - machine.orders_sent, shares().orders, now) : window_.lost(now);
+    any ? window_.answered(now - machine.orders_sent) : window_.lost(now);
   machine.orders_in_flight = false;
-  if (any)
-    machine.unanswered = 0;
-  else if (!window_.behind(now))
-    ++machine.unanswered;
+  machine.unanswered = any ? 0 : machine.unanswered + 1;
 }
 
 void Orders::gone(const Machine& machine) {
--- a/src/core/orders.hpp
+++ b/src/core/orders.hpp
@@ -34,7 +34,6 @@
   // How many more machines may be asked now.
   std::size_t room() const;
   SocketShares shares() const { return share_sockets(sockets_, fleet_.all().size()); }
-  void note_late(Seconds late, TimePoint now) { window_.note_late(late, now); }
   const OrderWindow& window() const { return window_; }
   // Whether the start may have been sent.
   bool committed(const TaskKey& key, const Assignment& assignment) const;
--- a/src/core/reckoning.cpp
+++ b/src/core/reckoning.cpp
@@ -112,7 +112,7 @@
   heard_zones_.clear();
   for (const auto& [zone, count] : zones)
     if (count.heard()) heard_zones_.insert(zone);
-  impatient_ = all.heard() && !orders_.window().behind(now) && cost_.total() >= price;
+  impatient_ = all.heard() && cost_.total() >= price;
 }
 
 void Reckoning::note_cost(TimePoint now) {
--- a/src/core/reckoning.hpp
+++ b/src/core/reckoning.hpp
@@ -35,13 +35,12 @@
   std::size_t unregistered = 0;   // machines that reported and were not stored
   std::size_t new_sessions = 0;   // machines whose lease had run out
   std::size_t late = 0;           // reports older than one that is known
-  std::size_t told = 0;           // given our token without their report being read
   std::size_t returned = 0;       // machines given up as silent
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
     f(s.adopted, s.ended, s.second_copies, s.stored_done, s.of_no_job, s.unregistered,
-      s.new_sessions, s.late, s.told, s.returned);
+      s.new_sessions, s.late, s.returned);
   }
 };
 
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -10,12 +10,26 @@
 // seen nowhere may be on any of the others (docs/safety.md, "One copy of a task", 3).
 void Recovery::check(TimePoint proved) {
   if (!recovering_) return;
-  if (proved >= older_leases_end_) unconfirmed_.clear();
+  // One that we have answered since, without knowing all that it runs, has its lease from us: its
+  // report may have been answered unread, or an older order may have come after it.
+  if (proved >= older_leases_end_)
+    std::erase_if(unconfirmed_, [&](const MachineId& id) {
+      const auto* machine = fleet_.find(id);
+      return machine == nullptr || !machine->heard ||
+             proved - *machine->heard > to_duration(whole_lease());
+    });
   if (!unconfirmed_.empty()) return;
   recovering_ = false;
   out_.want_placing();
 }
 
+// With what a clock may go wrong, and the way of the last answer.
+Seconds Recovery::whole_lease() const { return lease_ * 1.001 + Seconds(1); }
+
+void Recovery::no_older_leader(TimePoint now) {
+  older_leases_end_ = std::min(older_leases_end_, now + to_duration(whole_lease()));
+}
+
 // A task of an older job that was seen nowhere may be on an unconfirmed machine, if its job may run
 // there at all: no leader ever starts a task where its job does not allow it.
 bool Recovery::unaccounted(const Job& job) const {
--- a/src/core/recovery.hpp
+++ b/src/core/recovery.hpp
@@ -15,9 +15,14 @@
 
 class Recovery {
  public:
-  // `older_leases_end`: when the leases that older leaders may have renewed have run out.
-  Recovery(Outbox& out, Fleet& fleet, TimePoint older_leases_end)
-      : out_(out), fleet_(fleet), older_leases_end_(older_leases_end) {}
+  // `older_leases_end`: when the leases that older leaders may have renewed have run out. `lease`:
+  // of a worker.
+  Recovery(Outbox& out, Fleet& fleet, TimePoint older_leases_end, Seconds lease)
+      : out_(out), fleet_(fleet), older_leases_end_(older_leases_end), lease_(lease) {}
+
+  // No older leader answers reports any more: every other controller has said, after it saw our
+  // key, that it does not lead. So what they may have renewed runs out a lease from now.
+  void no_older_leader(TimePoint now);
 
   // A machine on which an older leader may have started tasks.
   void expect(const Machine& machine) {
@@ -48,16 +53,19 @@
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.recovering_, s.unconfirmed_, s.unconfirmed_kinds_, s.foreign_, s.uncertain_);
+    f(s.older_leases_end_, s.recovering_, s.unconfirmed_, s.unconfirmed_kinds_, s.foreign_,
+      s.uncertain_);
   }
 
  private:
+  Seconds whole_lease() const;
   bool recorded_in_doubt(const Job& job, TaskIndex index) const;
   Resources uncertain_use() const;
 
   Outbox& out_;
   Fleet& fleet_;
   TimePoint older_leases_end_;
+  Seconds lease_;
   bool recovering_ = true;
   std::set<MachineId> unconfirmed_;
   std::set<OptionKey> unconfirmed_kinds_;  // type, zone and kind of those; may tell of too many
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -86,14 +86,6 @@
   recovery_.note_foreign(machine);
 }
 
-void Reports::told(const MachineId& id, TimePoint now) {
-  auto* machine = fleet_.find(id);
-  if (machine == nullptr || !machine->up()) return;
-  fleet_.touch(*machine);
-  machine->heard = now;
-  reckoning_.count(&Squared::told);
-}
-
 void Reports::absorb_task(Machine& machine, const TaskReport& entry, TimePoint now) {
   const auto found = machine.tasks.find(entry.task);
   if (found == machine.tasks.end() || found->second.attempt != entry.attempt)
--- a/src/core/reports.hpp
+++ b/src/core/reports.hpp
@@ -31,8 +31,6 @@
         token_(token) {}
 
   void report(const WorkerReport& report, TimePoint now);
-  // It lives, and has our token from the answer to a report that was not read.
-  void told(const MachineId& id, TimePoint now);
   // `answer`: null if none came.
   void orders_answered(const MachineId& id, const WorkerReport* answer, TimePoint now);
 
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -2,8 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "agent/agent_codec.hpp"
-#include "agent/report_head.hpp"
 #include "store/leader_records.hpp"
 #include "wall_clock.hpp"
 
@@ -164,7 +165,6 @@
   tick_timer_.expires_after(kTick);
   tick_timer_.async_wait([this, alive = alive_](const asio::error_code& error) {
     if (!*alive || error) return;
-    late_ = Clock::now() - tick_timer_.expiry();
     pump();
     const auto now = Clock::now();
     tell_steps(now);
@@ -193,9 +193,7 @@
   if (!controller_) return;
   const auto now = Clock::now();
   feed_catalog();
-  feed(core::Ticked{leadership_.may_serve(now), leadership_.contact(),
-                    std::exchange(late_, core::Seconds(0))},
-       now);
+  feed(core::Ticked{leadership_.may_serve(now), leadership_.contact()}, now);
   auto actions = controller_->take_actions();
   if (keeper_ != nullptr) keeper_->acted(now, actions);
   orders_.set_most_lines(controller_->orders().shares().orders);
@@ -210,6 +208,19 @@
   keep_history(now);
 }
 
+// It was said after our key was won, since it names it; a node that does not lead answers no
+// report, and if it ever leads again it has a higher token (docs/safety.md, "Older leaders that are
+// known to be gone"). A follower of an older program names no key and leaves the longer wait.
+void Leader::heard_follower(const std::string& member, core::Token follows) {
+  if (follows != token_ || !controller_ || !controller_->recovering()) return;
+  const auto known = std::any_of(settings_.siblings.begin(), settings_.siblings.end(),
+                                 [&](const auto& sibling) { return sibling.member == member; });
+  if (!known || !followers_.insert(member).second) return;
+  if (followers_.size() < settings_.siblings.size()) return;
+  spdlog::info("no older leader is left: all {} other controllers follow", followers_.size());
+  feed(core::OlderLeadersGone{});
+}
+
 void Leader::note_orders(const core::SendOrders& orders) {
   if (steps_told_) return;
   const auto now = Clock::now();
@@ -243,9 +254,9 @@
   const auto& s = reckoning.squared();
   spdlog::info(
       "squared: asked={} most_at_once={} adopted={} done_unstored={} stored_done={} "
-      "second_copies={} of_no_job={} unregistered={} new_sessions={} late={} told={} returned={}",
+      "second_copies={} of_no_job={} unregistered={} new_sessions={} late={} returned={}",
       reckoning.asked(), controller_->orders().window().peak(), s.adopted, s.ended, s.stored_done,
-      s.second_copies, s.of_no_job, s.unregistered, s.new_sessions, s.late, s.told, s.returned);
+      s.second_copies, s.of_no_job, s.unregistered, s.new_sessions, s.late, s.returned);
 }
 
 void Leader::job_opened(const core::JobRecord& record) {
@@ -318,18 +329,6 @@
   const auto now = Clock::now();
   if (!controller_ || !leadership_.may_serve(now))
     return respond({503, R"({"error":"not entitled to lead now"})", std::chrono::seconds(1)});
-  // After a takeover each machine reports twice, under its old token and then under ours. When
-  // there is too much to do, the first time only its token is looked at (docs/reckoning.md, "A late
-  // leader").
-  if (controller_->hurried(now)) {
-    // A worker that waited in vain tries elsewhere and says more there: who answers those that have
-    // given up stays behind, and loses the others too. Its connection ends by itself.
-    if (respond.abandoned()) return;
-    if (const auto head = agent::read_head(request.body); head && head->token < token_) {
-      feed(core::MachineTold{head->machine}, now);
-      return respond({200, agent::response_body(token_, {}), {}});
-    }
-  }
   core::WorkerReport report;
   try {
     report = agent::parse_report(request.body);
--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -31,6 +31,8 @@
 
   bool ready() const { return controller_ != nullptr; }
   void handle_report(const net::Request& request, const net::Responder& respond);
+  // A sibling says that it does not lead and which leader key it has seen.
+  void heard_follower(const std::string& member, core::Token follows);
   void job_opened(const core::JobRecord& record);
   void job_closed(const core::JobId& id);
   void set_catalog(const std::vector<core::MachineType>& types);
@@ -91,7 +93,7 @@
   bool recovered_ = false;  // and said so
   core::TimePoint recovered_at_{};
   bool steps_told_ = false;
-  core::Seconds late_{0};  // of the last tick
+  std::set<std::string> followers_;  // that have seen our key and do not lead
   core::TimePoint last_list_{};
   core::TimePoint last_summary_{};
   advice::Spending spending_;
--- a/src/mesh/mesh.hpp
+++ b/src/mesh/mesh.hpp
@@ -28,7 +28,9 @@
   std::uint64_t store_silence_ms = 0;
   std::uint64_t token = 0;  // 0: does not lead
   std::vector<JobCount> counts;
-  MSGPACK_DEFINE(version, member, store_silence_ms, token, counts)
+  // Token of the leader key that it has seen last; 0: none, or from a program that does not say it.
+  std::uint64_t follows = 0;
+  MSGPACK_DEFINE(version, member, store_silence_ms, token, counts, follows)
 };
 
 inline constexpr std::uint32_t kVersion = 1;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,6 +10,7 @@
 using asio::ip::tcp;
 
 namespace {
+constexpr int kMostAccepted = 64;
 
 const char* reason(int status) {
   switch (status) {
@@ -76,16 +77,6 @@
     send(std::move(response));
   }
 
-  // Its peer has closed its side while it waited.
-  bool abandoned() {
-    if (closed_) return true;
-    char byte = 0;
-    asio::error_code error;
-    socket_.non_blocking(true, error);
-    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error && error != asio::error::would_block && error != asio::error::try_again;
-  }
-
   bool overdue(std::chrono::steady_clock::time_point now, const ServerLimits& limits) const {
     if (awaiting_answer_) return false;
     const auto quiet = now - touched_;
@@ -237,11 +228,6 @@
   bool closed_ = false;
 };
 
-bool Responder::abandoned() const {
-  const auto connection = connection_.lock();
-  return !connection || connection->abandoned();
-}
-
 void Responder::operator()(Response response) const {
   if (auto connection = connection_.lock()) connection->respond(request_, std::move(response));
 }
@@ -254,6 +240,7 @@
       limits_(limits),
       handler_(std::move(handler)),
       peer_of_(std::move(peer_of)) {
+  acceptor_.non_blocking(true);
   accept();
   sweep();
 }
@@ -281,20 +268,31 @@
       });
       return;
     }
-    if (connections_.size() < limits_.max_connections) {
-      asio::error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      auto connection = std::make_shared<ServerConnection>(std::move(socket), *this);
-      connections_.insert(connection);
-      ++open_[static_cast<std::size_t>(Peer::unknown)];
-      connection->start();
-    } else {
-      refuse();
+    admit(std::move(socket));
+    // All that wait, up to a bound: one at a time, each behind everything else that is ready, new
+    // connections came to some twenty a second when a thousand workers looked for their leader, and
+    // those that were not accepted gave up before they were heard (docs/incidents/overload.md).
+    for (int more = 0; more < kMostAccepted; ++more) {
+      asio::error_code none;
+      tcp::socket next(acceptor_.get_executor());
+      acceptor_.accept(next, none);
+      if (none) break;
+      admit(std::move(next));
     }
     accept();
   });
 }
 
+void HttpServer::admit(tcp::socket socket) {
+  if (connections_.size() >= limits_.max_connections) return refuse();
+  asio::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto connection = std::make_shared<ServerConnection>(std::move(socket), *this);
+  connections_.insert(connection);
+  ++open_[static_cast<std::size_t>(Peer::unknown)];
+  connection->start();
+}
+
 void HttpServer::set_limits(std::size_t most, std::size_t kept_workers, std::size_t kept_users) {
   limits_.max_connections = most;
   limits_.kept[static_cast<std::size_t>(Peer::worker)] = kept_workers;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -20,8 +20,6 @@
   Responder(std::weak_ptr<ServerConnection> connection, std::uint64_t request)
       : connection_(std::move(connection)), request_(request) {}
   void operator()(Response response) const;
-  // The peer has given up waiting: an answer would reach nobody. Costs a system call.
-  bool abandoned() const;
 
  private:
   std::weak_ptr<ServerConnection> connection_;
@@ -67,6 +65,7 @@
  private:
   friend class ServerConnection;
   void accept();
+  void admit(asio::ip::tcp::socket socket);
   void sweep();
   void refuse();
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -202,6 +202,7 @@
   view.store_answered =
       now - milliseconds(std::min<std::uint64_t>(status.store_silence_ms, 1'000'000));
   view.token = status.token;
+  if (leader_ && status.token == 0) leader_->heard_follower(status.member, status.follows);
   for (const auto& count : status.counts)
     if (mirror_.find(count.id) != nullptr) told_counts_[count.id] = {count.done, count.running};
 }
@@ -212,6 +213,7 @@
   status.store_silence_ms = static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(Clock::now() - store_answered_).count());
   status.token = leadership_.token();
+  status.follows = election_.leader() ? election_.leader()->revision : 0;
   if (leader_ && leader_->ready())
     for (const auto& [id, job] : leader_->controller()->jobs()) {
       const auto known = leader_->controller()->counts(id);
