--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -269,9 +269,8 @@
       return;
     }
     admit(std::move(socket));
-    // All that wait, up to a bound: one at a time, each behind everything else that is ready, new
-    // connections came to some twenty a second when a thousand workers looked for their leader, and
-    // those that were not accepted gave up before they were heard (docs/incidents/overload.md).
+    // All that wait, up to a bound: one at a time, each behind everything else that is ready,
+    // thousands of workers that look for their leader would wait longer than their patience.
     for (int more = 0; more < kMostAccepted; ++more) {
       asio::error_code none;
       tcp::socket next(acceptor_.get_executor());
