One length of a lease for both who wait for it; no look at due orders when nobody is to be asked

Found by reading the change once more: Recovery and MachineWatch each computed when a worker has ended its tasks, with the same two margins, and Reckoning::ask counted the orders that are due at every tick of a leader's life, also when its queues were empty.

Change: Recovery::whole_lease serves both, and ask returns first.

--- a/src/core/machine_watch.cpp
+++ b/src/core/machine_watch.cpp
@@ -80,8 +80,8 @@
         // newer leader renews it: one that is cut off and does not know yet that it was followed
         // would start them again (seed 1684 of the simulation). So nobody else may have led by the
         // time at which the lease ends.
-        const auto lease_end = settings_.workers.lease * 1.001 + Seconds(1);
-        if (machine.confirmed && proved - last > to_duration(lease_end) && !machine.tasks.empty())
+        if (machine.confirmed && proved - last > to_duration(recovery_.whole_lease()) &&
+            !machine.tasks.empty())
           assignments_.lose_all(machine, now);
       }
       if (machine.quarantined && machine.tasks.empty()) want_release(machine, "sick", now);
--- a/src/core/reckoning.cpp
+++ b/src/core/reckoning.cpp
@@ -34,6 +34,7 @@
 }
 
 void Reckoning::ask(TimePoint now) {
+  if (queue_.empty() && told_.empty()) return;
   auto room = orders_.room();
   const auto due = [&](const MachineId& id) {
     const auto* machine = fleet_.find(id);
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -23,9 +23,6 @@
   out_.want_placing();
 }
 
-// With what a clock may go wrong, and the way of the last answer.
-Seconds Recovery::whole_lease() const { return lease_ * 1.001 + Seconds(1); }
-
 void Recovery::no_older_leader(TimePoint now) {
   older_leases_end_ = std::min(older_leases_end_, now + to_duration(whole_lease()));
 }
--- a/src/core/recovery.hpp
+++ b/src/core/recovery.hpp
@@ -24,6 +24,10 @@
   // key, that it does not lead. So what they may have renewed runs out a lease from now.
   void no_older_leader(TimePoint now);
 
+  // After so long without an answer of anybody a worker has ended its tasks: its lease, what a
+  // clock may go wrong by, and the way of the last answer.
+  Seconds whole_lease() const { return lease_ * 1.001 + Seconds(1); }
+
   // A machine on which an older leader may have started tasks.
   void expect(const Machine& machine) {
     unconfirmed_.insert(machine.id);
@@ -58,7 +62,6 @@
   }
 
  private:
-  Seconds whole_lease() const;
   bool recorded_in_doubt(const Job& job, TaskIndex index) const;
   Resources uncertain_use() const;
 
