Tests of order lines share one sender

Found by reading the change once more: both tests built the same sender and the same set of who answered.

--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -7,9 +7,13 @@
 namespace violetpulley::agent {
 namespace {
 
-// Machines that answer, and the orders for them.
+// Machines that answer, the orders for them, and who sends those.
 struct Yard {
-  explicit Yard(asio::io_context& io) {
+  explicit Yard(asio::io_context& io)
+      : sender(io, 7, 2, [this](const core::MachineId& id, const core::WorkerReport* report) {
+          ASSERT_NE(report, nullptr) << id;
+          answered.insert(id);
+        }) {
     for (int i = 0; i < 6; ++i) {
       asio::ip::tcp::acceptor probe(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
       const auto at = probe.local_endpoint();
@@ -29,6 +33,8 @@
   }
   std::vector<std::unique_ptr<net::HttpServer>> machines;
   std::vector<core::SendOrders> orders;
+  std::multiset<core::MachineId> answered;
+  OrdersSender sender;  // with two lines
 };
 
 // Reports take a socket a machine already; without the bound, orders would take as many again and a
@@ -36,11 +42,8 @@
 TEST(Orders, ReachEveryMachineOverABoundedNumberOfConnections) {
   asio::io_context io;
   Yard yard(io);
-  std::multiset<core::MachineId> answered;
-  OrdersSender sender(io, 7, 2, [&](const core::MachineId& id, const core::WorkerReport* report) {
-    ASSERT_NE(report, nullptr) << id;
-    answered.insert(id);
-  });
+  auto& answered = yard.answered;
+  auto& sender = yard.sender;
   for (int round = 1; round <= 2; ++round)
     for (const auto& order : yard.orders) {
       const auto before = answered.size();
@@ -58,11 +61,8 @@
 TEST(Orders, ABurstLeavesNoMoreLinesThanTheBound) {
   asio::io_context io;
   Yard yard(io);
-  std::multiset<core::MachineId> answered;
-  OrdersSender sender(io, 7, 2, [&](const core::MachineId& id, const core::WorkerReport* report) {
-    ASSERT_NE(report, nullptr) << id;
-    answered.insert(id);
-  });
+  auto& answered = yard.answered;
+  auto& sender = yard.sender;
   for (int round = 1; round <= 2; ++round) {
     for (const auto& order : yard.orders) sender.send(order);
     for (int i = 0; i < 200 && answered.size() < yard.orders.size() * round; ++i)
