Hearing and reaching are two facts; who is cut off steps back in seconds; copies prove little

Change: core/contact owns heard and reached. Starts go where an order was answered in this session; unanswered starts are not repeated, the machine is asked instead. Out of reach with stuck tasks, or for longer than a boot: returned. Nobody is returned while nobody at all is heard; deaf after 20 expected reports (2.5 s at least), mute after an interval and two asks. Time in which nothing is taken in counts as nobody's silence. Released machines are remembered for good; an unknown machine is registered, and what it lists believed, once it answers; a late copy carries no commands; a report under a higher token gets 503, since the worker drops a 200. Boots that are late together are waited for. Moved endpoints are stored.

--- /dev/null
+++ b/src/core/contact.cpp
@@ -0,0 +1,135 @@
+#include "core/contact.hpp"
+
+#include <algorithm>
+
+#include "core/orders.hpp"
+
+namespace violetpulley::core {
+
+namespace {
+// A process that looks every half second and did not for this long stood still.
+constexpr std::chrono::milliseconds kStoodStill{1500};
+// Reports come independently of each other: with so many expected and none heard, chance is out of
+// the question for the one (about 1 in 3,000), and for the other even over a whole year.
+constexpr double kNobodyNow = 8;
+constexpr double kNobodyAtAll = 20;
+constexpr Seconds kLeastGap{1};
+constexpr Seconds kLeastDeaf{2.5};
+constexpr Seconds kAskedAgain{3};  // an unanswered ask, the pause after it, and another one
+constexpr std::size_t kProbes = 4;
+}  // namespace
+
+void Contact::heard(Machine& machine, TimePoint now) {
+  fleet_.touch(machine);
+  machine.heard = now;
+  last_heard_ = now;
+}
+
+void Contact::arrived(Machine& machine, TimePoint now) {
+  fleet_.touch(machine);
+  machine.reached = now;
+  machine.unreached_since.reset();
+  last_reached_ = now;
+}
+
+void Contact::missed(Machine& machine, TimePoint sent) {
+  if (machine.unreached_since) return;
+  fleet_.touch(machine);
+  machine.unreached_since = sent;
+}
+
+void Contact::new_session(Machine& machine) {
+  fleet_.touch(machine);
+  machine.reached.reset();
+}
+
+void Contact::look(TimePoint now, bool serving) {
+  if (!serving || (last_look_ != TimePoint{} && now - last_look_ > kStoodStill))
+    listening_since_ = now;
+  last_look_ = now;
+  up_ = heard_lately_ = out_of_reach_ = 0;
+  const auto silent_after = settings_.tuning.silent_after;
+  for (const auto& [id, machine] : fleet_.all()) {
+    if (!machine.up() || machine.releasing) continue;
+    ++up_;
+    if (!machine.heard || quiet(machine, now) >= silent_after) continue;
+    ++heard_lately_;
+    if (machine.unreached_since) ++out_of_reach_;
+  }
+}
+
+Seconds Contact::quiet(const Machine& machine, TimePoint now) const {
+  return now -
+         std::max(machine.heard.value_or(std::max(machine.since, takeover_)), listening_since_);
+}
+
+// The time in which so many reports should have come.
+Duration Contact::gap(double reports, Seconds least, Seconds most) const {
+  const auto each = settings_.workers.report / static_cast<double>(std::max<std::size_t>(1, up_));
+  return to_duration(std::clamp(each * reports, least, std::max(least, most)));
+}
+
+// With nothing to tell, a healthy machine is quiet for as long as its reports may be apart.
+Duration Contact::deaf_after() const {
+  return to_duration(
+      std::max(settings_.tuning.silent_after, settings_.workers.report * 1.25 + kOrderTravels));
+}
+
+bool Contact::others_heard(TimePoint now) const {
+  if (heard_lately_ * 2 < up_ && up_ != 1) return false;
+  const auto last = std::max(last_heard_.value_or(takeover_), listening_since_);
+  return now - last < gap(kNobodyNow, kLeastGap, Seconds(deaf_after()));
+}
+
+bool Contact::gives_up(const Machine& machine, Seconds boot, TimePoint now) const {
+  if (!machine.unreached_since || !machine.confirmed) return false;
+  const Seconds out = now - *machine.unreached_since;
+  if (out < settings_.tuning.lost_after) return false;
+  // Where many are out of reach at once, it is rather this leader, or a cut that ends: their leases
+  // run out by themselves, and nobody is in a hurry.
+  const bool many = static_cast<double>(out_of_reach_) >
+                    std::max(1.0, static_cast<double>(up_) * settings_.tuning.most_given_up);
+  if (many && out < settings_.workers.lease + boot) return false;
+  const auto lease_left =
+      machine.reached ? settings_.workers.lease - Seconds(now - *machine.reached) : Seconds(0);
+  bool stuck = false;
+  for (const auto& [key, assignment] : machine.tasks) {
+    if (!assignment.seen || assignment.stop)
+      stuck = true;
+    else if (remaining_of(assignment, now) < lease_left)
+      return false;
+  }
+  return stuck || out > boot;
+}
+
+const char* Contact::cut_off(TimePoint now) const {
+  if (!settings_.resigns_when_deaf || up_ < 2 || now - listening_since_ < kLeastDeaf)
+    return nullptr;
+  const auto since = [&](const std::optional<TimePoint>& last) {
+    return now - std::max(last.value_or(takeover_), listening_since_);
+  };
+  // One that has heard nobody yet has to wait until its followers' workers come to it.
+  const auto patience = last_heard_ ? gap(kNobodyAtAll, kLeastDeaf, Seconds(deaf_after()))
+                                    : to_duration(settings_.tuning.silent_after * 1.5);
+  if (since(last_heard_) > patience) return "no machine is heard from";
+  if (last_heard_ && out_of_reach_ >= std::min(kProbes, up_) &&
+      since(last_reached_) > to_duration(settings_.workers.report + kAskedAgain))
+    return "its machines are heard, and none of them is reached";
+  return nullptr;
+}
+
+std::vector<MachineId> Contact::to_probe(TimePoint now) const {
+  std::vector<MachineId> probes;
+  if (up_ < 2 || now - std::max(last_reached_.value_or(takeover_), listening_since_) <
+                     to_duration(settings_.workers.report))
+    return probes;
+  for (const auto& [id, machine] : fleet_.all()) {
+    if (!machine.up() || machine.releasing || !machine.confirmed || !machine.heard) continue;
+    if (machine.unreached_since || quiet(machine, now) >= settings_.tuning.silent_after) continue;
+    probes.push_back(id);
+    if (probes.size() == kProbes) break;
+  }
+  return probes;
+}
+
+}  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/contact.hpp
@@ -0,0 +1,74 @@
+// Whom this leader hears and whom it reaches. These are two facts: a report proves what a machine
+// was when it was sent, an answer to an order (or a report that shows the effect of one) that what
+// we say arrives there (PROTOCOL, "Delayed messages", "Outages and cuts"; docs/safety.md, "Reports
+// that prove less than they seem to"). Owns both facts of every machine, and since when this leader
+// could have heard anything; decides which machines are reached, which are out of reach for so long
+// that they are given up, and when the leader itself is the one that is cut off.
+#pragma once
+
+#include "core/fleet.hpp"
+#include "core/settings.hpp"
+
+namespace violetpulley::core {
+
+// Our word arrives there, as far as is known. A session that has grown proves that the tasks before
+// it are gone, not that we reach the machine: that waits for proof.
+inline bool reached(const Machine& machine) { return machine.reached && !machine.unreached_since; }
+
+class Contact {
+ public:
+  Contact(const ControllerSettings& settings, Fleet& fleet, TimePoint takeover)
+      : settings_(settings), fleet_(fleet), takeover_(takeover), listening_since_(takeover) {}
+
+  // A report newer than all seen of this machine.
+  void heard(Machine& machine, TimePoint now);
+  // Something that we sent has arrived.
+  void arrived(Machine& machine, TimePoint now);
+  // Orders that were sent then were not answered.
+  void missed(Machine& machine, TimePoint sent);
+  // Nothing is known of the machine's new session yet but that it exists.
+  void new_session(Machine& machine);
+
+  // Looks at the fleet. `serving`: reports are taken in. Time in which they are not, or in which
+  // this process stood still, is nobody's silence.
+  void look(TimePoint now, bool serving);
+
+  // How long it has said nothing that could have been heard.
+  Seconds quiet(const Machine& machine, TimePoint now) const;
+  // Machines that fall silent while others are heard are likely dead. With half of the fleet
+  // silent, or with nobody heard for as long as many reports should have come, it is rather this
+  // leader: in the first seconds of a cut the machines that had reported longest ago look dead, one
+  // by one (docs/incidents/inc-c2d3.md).
+  bool others_heard(TimePoint now) const;
+  // It is heard, cannot be told anything, and is to be returned: tasks are stuck there and nothing
+  // that runs there can end within its lease, or waiting has cost as much as another boot would.
+  bool gives_up(const Machine& machine, Seconds boot, TimePoint now) const;
+
+  // This leader hears or reaches none of its machines, though it should: the cause, or null.
+  const char* cut_off(TimePoint now) const;
+  // Machines that are asked only to learn whether anybody is reached.
+  std::vector<MachineId> to_probe(TimePoint now) const;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.listening_since_, s.last_look_, s.last_heard_, s.last_reached_, s.up_, s.heard_lately_,
+      s.out_of_reach_);
+  }
+
+ private:
+  Duration gap(double reports, Seconds least, Seconds most) const;
+  Duration deaf_after() const;
+
+  const ControllerSettings& settings_;
+  Fleet& fleet_;
+  TimePoint takeover_;
+  TimePoint listening_since_;
+  TimePoint last_look_{};
+  std::optional<TimePoint> last_heard_;    // any machine
+  std::optional<TimePoint> last_reached_;  // any machine
+  std::size_t up_ = 0;                     // at the last look, as the next two
+  std::size_t heard_lately_ = 0;
+  std::size_t out_of_reach_ = 0;  // heard lately and not reached
+};
+
+}  // namespace violetpulley::core
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -17,6 +17,7 @@
       catalog_(settings_),
       jobs_(out_),
       outlooks_(settings_, estimator_, now),
+      contact_(settings_, fleet_, now),
       recovery_(out_, fleet_, older_leases_end, settings_.workers.lease),
       registry_(out_, fleet_),
       orders_(settings_.sockets, settings_.tuning.most_orders, out_, fleet_, jobs_),
@@ -31,9 +32,9 @@
              bindings_, preemption_),
       rentals_(settings_, out_, catalog_, fleet_, jobs_, starts_, outlooks_, market_, bindings_,
                scarcity_, gangs_, registry_, token),
-      watch_(settings_, out_, catalog_, fleet_, orders_, recovery_, reckoning_, assignments_,
-             registry_, now),
-      reports_(settings_, out_, catalog_, fleet_, jobs_, estimator_, outlooks_, recovery_,
+      watch_(settings_, out_, catalog_, fleet_, contact_, orders_, recovery_, reckoning_,
+             assignments_, registry_, now),
+      reports_(settings_, out_, catalog_, fleet_, contact_, jobs_, estimator_, outlooks_, recovery_,
                reckoning_, registry_, orders_, assignments_, gangs_, token),
       clearing_(settings_, catalog_, fleet_, jobs_, orders_, bindings_, scarcity_, watch_),
       replicas_(settings_, out_, fleet_, jobs_, orders_, starts_, bindings_),
@@ -112,7 +113,7 @@
     bindings_.machine_gone(id);
     recovery_.accounted(id);
     orders_.gone(*machine);
-    registry_.released(id, now);
+    registry_.released(id);
     fleet_.erase(id);
   }
   out_.want_placing();
@@ -138,7 +139,7 @@
 void Controller::tick(TimePoint now, bool may_place, TimePoint proved) {
   recovery_.check(proved);
   reckoning_.ask(now);
-  if (watch_.watch(now, proved)) clearing_.clear(now);
+  if (watch_.watch(now, may_place, proved)) clearing_.clear(now);
   replicas_.gather(now);
   gangs_.mend(now);
   if (may_place) placing_.round(now);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -49,8 +49,8 @@
   // Every other controller has said, after it saw our key, that it does not lead.
   void no_older_leader(TimePoint now) { recovery_.no_older_leader(now); }
   // Stops and forgets that travel in the answer to a report.
-  std::vector<Command> response_commands(const MachineId& machine) const {
-    return orders_.response_commands(machine);
+  std::vector<Command> response_commands(const WorkerReport& report) const {
+    return orders_.response_commands(report.machine, {report.session, report.sequence});
   }
   void orders_answered(const MachineId& machine, const WorkerReport* report, TimePoint now) {
     reports_.orders_answered(machine, report, now);
@@ -100,6 +100,7 @@
     visit("fleet", self.fleet_);
     visit("jobs", self.jobs_);
     visit("estimates", self.estimator_);
+    visit("contact", self.contact_);
     visit("recovery", self.recovery_);
     visit("reckoning", self.reckoning_);
     visit("registry", self.registry_);
@@ -125,6 +126,7 @@
   Jobs jobs_;
   Estimator estimator_;
   Outlooks outlooks_;
+  Contact contact_;
   Recovery recovery_;
   Registry registry_;
   Orders orders_;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -72,7 +72,9 @@
   bool registering = false;
   TimePoint since{};  // rented, or first known
   std::optional<TimePoint> up_since;
-  std::optional<TimePoint> heard;
+  std::optional<TimePoint> heard;            // Contact's, like the next two
+  std::optional<TimePoint> reached;          // our word arrived there, in this session
+  std::optional<TimePoint> unreached_since;  // the first order list since that was not answered
   std::optional<TimePoint> notice_ends;
 
   std::map<TaskKey, Assignment> tasks;
@@ -112,7 +114,8 @@
       s.heard, s.notice_ends, s.tasks, s.reported, s.images, s.images_changed, s.clearing,
       s.quarantined, s.releasing, s.release_cause, s.release_retry, s.underused_since,
       s.sparse_since, s.idle_since, s.reserved_for, s.errors, s.error_jobs, s.in_doubt,
-      s.starts_in_flight, s.orders_in_flight, s.unanswered, s.next_orders, s.orders_sent);
+      s.starts_in_flight, s.orders_in_flight, s.unanswered, s.next_orders, s.orders_sent, s.reached,
+      s.unreached_since);
   }
 };
 
--- a/src/core/machine_watch.cpp
+++ b/src/core/machine_watch.cpp
@@ -9,18 +9,40 @@
 constexpr std::chrono::milliseconds kWatchInReckoning{200};
 constexpr std::chrono::seconds kReleaseRetry{3};
 constexpr std::size_t kMostReleased = 100;  // PROTOCOL, POST /rentals/release
+constexpr std::size_t kLateTogether = 3;    // machines of a type
+constexpr double kLateAtMost = 2.5;         // times the usual patience
 constexpr int kImagesPerPass = 20;          // their records only spare fetches after a takeover
 }  // namespace
 
-bool MachineWatch::others_heard(TimePoint now) const {
-  std::size_t up = 0;
-  std::size_t heard = 0;
+void MachineWatch::note_boots(TimePoint now) {
+  boots_.clear();
   for (const auto& [id, machine] : fleet_.all()) {
-    if (!machine.up() || machine.releasing) continue;
-    ++up;
-    if (machine.heard && now - *machine.heard < to_duration(settings_.tuning.silent_after)) ++heard;
+    auto& type = boots_[machine.type];
+    if (machine.up())
+      type.youngest_up = std::max(type.youngest_up.value_or(machine.since), machine.since);
+    else if (now - machine.since > to_duration(boot_patience(machine, 1)))
+      ++type.late;
   }
-  return heard * 2 >= up || up == 1;
+}
+
+Seconds MachineWatch::boot_of(const Machine& machine) const {
+  const auto type = catalog_.types().find(machine.type);
+  return type == catalog_.types().end() ? Seconds(60) : type->second.boot;
+}
+
+Seconds MachineWatch::boot_patience(const Machine& machine, double times) const {
+  return boot_of(machine) * (settings_.tuning.boot_late_factor * times) + settings_.workers.report;
+}
+
+// One that others pass never comes up, or so late that a new one is there sooner. Where several are
+// late and none that was rented after them is up, a new one would be late as well: then they are
+// waited for longer, since each that is returned and rented anew starts from the beginning.
+bool MachineWatch::late_to_boot(const Machine& machine, TimePoint now) const {
+  const Seconds waited = now - machine.since;
+  if (waited <= boot_patience(machine, 1)) return false;
+  const auto& type = boots_.at(machine.type);
+  const bool passed = type.youngest_up && *type.youngest_up > machine.since;
+  return passed || type.late < kLateTogether || waited > boot_patience(machine, kLateAtMost);
 }
 
 void MachineWatch::want_release(Machine& machine, const std::string& cause, TimePoint now) {
@@ -37,35 +59,29 @@
   want_release(machine, "silent", now);
 }
 
-bool MachineWatch::watch(TimePoint now, TimePoint proved) {
+bool MachineWatch::watch(TimePoint now, bool serving, TimePoint proved) {
   if (now - last_watch_ < (recovery_.recovering() ? kWatchInReckoning : kWatchEvery)) return false;
   last_watch_ = now;
   reckoning_.judge(now);
+  contact_.look(now, serving);
+  note_boots(now);
   const auto& tuning = settings_.tuning;
-  const bool heard_from_most = others_heard(now);
+  const bool heard_from_most = contact_.others_heard(now);
   out_.looked_at(fleet_.all().size());
-  // With nothing to tell, a healthy machine is quiet for as long as its reports may be apart.
-  const auto deaf_after =
-      std::max(tuning.silent_after, settings_.workers.report * 1.25 + kOrderTravels);
-  std::size_t up = 0;
-  std::size_t silent = 0;
   int images_saved = 0;
   for (auto& [id, machine] : fleet_.all()) {
     if (!machine.up()) {
-      const auto type = catalog_.types().find(machine.type);
-      const Seconds boot = type == catalog_.types().end() ? Seconds(60) : type->second.boot;
-      const auto late = to_duration(boot * tuning.boot_late_factor + settings_.workers.report);
-      if (now - machine.since > late) want_release(machine, "late to boot", now);
+      if (late_to_boot(machine, now)) want_release(machine, "late to boot", now);
     } else {
-      ++up;
       const auto last = machine.heard.value_or(std::max(machine.since, takeover_));
-      const auto quiet = now - last;
+      const auto quiet = contact_.quiet(machine, now);
       const auto silent_after = recovery_.waits_for(id)
                                     ? std::min(tuning.silent_after, tuning.lost_after_takeover)
                                     : tuning.silent_after;
       if (heard_from_most && reckoning_.gives_up(machine)) give_up(machine, now);
-      if (quiet > to_duration(silent_after)) {
-        if (quiet > to_duration(deaf_after)) ++silent;
+      if (heard_from_most && contact_.gives_up(machine, boot_of(machine), now))
+        want_release(machine, "out of reach", now);
+      if (quiet > silent_after) {
         orders_.want(machine);
         // After a takeover no older task starts until every machine is accounted for, so one that
         // does not answer is returned sooner.
@@ -74,7 +90,7 @@
         // After a takeover most of 2,000 machines had not been asked yet when their time was over,
         // and a quarter of a healthy fleet was returned (docs/incidents/overload.md).
         const bool asked = !recovery_.waits_for(id) || reckoning_.silent(machine);
-        if (heard_from_most && quiet > to_duration(asked ? patience : patience + tuning.lost_after))
+        if (heard_from_most && quiet > (asked ? patience : patience + tuning.lost_after))
           give_up(machine, now);
         // The lease of a machine that answers nothing has run out, and its tasks with it, unless a
         // newer leader renews it: one that is cut off and does not know yet that it was followed
@@ -93,13 +109,13 @@
       // Starts and stops that are still open are repeated.
       for (const auto& [key, assignment] : machine.tasks)
         if (!assignment.seen || assignment.stop) orders_.want(machine);
+      // Asked until it is known that it is reached: nothing starts there before.
+      if (machine.confirmed && !reached(machine)) orders_.want(machine);
     }
   }
+  for (const auto& id : contact_.to_probe(now)) orders_.want(*fleet_.find(id));
   release_machines(now);
-  if (settings_.resigns_when_deaf && up >= 2 && silent == up &&
-      now - takeover_ > to_duration(tuning.silent_after * 1.5))
-    out_.push_back(Resign{"no machine is heard from", true});
-  registry_.forget_old(now);
+  if (const auto* cause = contact_.cut_off(now)) out_.push_back(Resign{cause, true});
   return true;
 }
 
--- a/src/core/machine_watch.hpp
+++ b/src/core/machine_watch.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/assignments.hpp"
+#include "core/contact.hpp"
 #include "core/orders.hpp"
 #include "core/reckoning.hpp"
 #include "core/registry.hpp"
@@ -12,12 +13,14 @@
 class MachineWatch {
  public:
   MachineWatch(const ControllerSettings& settings, Outbox& out, const Catalog& catalog,
-               Fleet& fleet, Orders& orders, Recovery& recovery, Reckoning& reckoning,
-               Assignments& assignments, Registry& registry, TimePoint takeover)
+               Fleet& fleet, Contact& contact, Orders& orders, Recovery& recovery,
+               Reckoning& reckoning, Assignments& assignments, Registry& registry,
+               TimePoint takeover)
       : settings_(settings),
         out_(out),
         catalog_(catalog),
         fleet_(fleet),
+        contact_(contact),
         orders_(orders),
         recovery_(recovery),
         reckoning_(reckoning),
@@ -26,8 +29,8 @@
         takeover_(takeover) {}
 
   // Looks at all machines when that is due, and tells whether it was.
-  // `proved`: nobody else led by then.
-  bool watch(TimePoint now, TimePoint proved);
+  // `serving`: reports are taken in. `proved`: nobody else led by then.
+  bool watch(TimePoint now, bool serving, TimePoint proved);
   void want_release(Machine& machine, const std::string& cause, TimePoint now);
   // The cloud did not answer: it is asked again.
   void return_failed(Machine& machine, TimePoint now);
@@ -38,7 +41,14 @@
   }
 
  private:
-  bool others_heard(TimePoint now) const;
+  struct TypeBoots {
+    std::optional<TimePoint> youngest_up;  // when the youngest machine that is up was rented
+    std::size_t late = 0;
+  };
+  Seconds boot_of(const Machine& machine) const;
+  Seconds boot_patience(const Machine& machine, double times) const;
+  bool late_to_boot(const Machine& machine, TimePoint now) const;
+  void note_boots(TimePoint now);
   void give_up(Machine& machine, TimePoint now);
   void release_machines(TimePoint now);
 
@@ -46,6 +56,7 @@
   Outbox& out_;
   const Catalog& catalog_;
   Fleet& fleet_;
+  Contact& contact_;
   Orders& orders_;
   Recovery& recovery_;
   Reckoning& reckoning_;
@@ -54,6 +65,7 @@
   TimePoint takeover_;
   TimePoint last_watch_{};
   TimePoint last_release_{};
+  std::map<std::string, TypeBoots> boots_;  // by type, at the last look
 };
 
 }  // namespace violetpulley::core
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -58,9 +58,10 @@
   return commands;
 }
 
-std::vector<Command> Orders::response_commands(const MachineId& id) const {
+std::vector<Command> Orders::response_commands(const MachineId& id, ReportNumber report) const {
   const auto* machine = fleet_.find(id);
-  return machine == nullptr ? std::vector<Command>{} : commands_for(*machine, false);
+  if (machine == nullptr || report != ReportNumber{machine->session, machine->sequence}) return {};
+  return commands_for(*machine, false);
 }
 
 void Orders::stop(Machine& machine, Assignment& assignment, TimePoint now, Seconds grace) {
@@ -143,7 +144,9 @@
   machine.orders_in_flight = true;
   machine.orders_sent = now;
   window_.sent();
-  auto commands = commands_for(machine, true);
+  // A machine that does not answer is asked, not given the same starts again and again: each of
+  // them might be held on its way. Stops are worth it.
+  auto commands = commands_for(machine, !machine.unreached_since);
   machine.starts_in_flight.clear();
   for (const auto& command : commands)
     if (command.verb == Verb::start) machine.starts_in_flight.push_back(command.attempt);
--- a/src/core/orders.hpp
+++ b/src/core/orders.hpp
@@ -12,6 +12,9 @@
 
 namespace violetpulley::core {
 
+// Session and sequence of a report.
+using ReportNumber = std::pair<std::uint64_t, std::uint64_t>;
+
 // An order's way to the worker, with room to spare.
 inline constexpr Seconds kOrderTravels{1};
 
@@ -23,8 +26,9 @@
 
   void want(const Machine& machine) { orders_due_.insert(machine.id); }
   std::vector<Command> commands_for(const Machine& machine, bool with_starts) const;
-  // Stops and forgets that travel in the answer to a report.
-  std::vector<Command> response_commands(const MachineId& machine) const;
+  // Stops and forgets that travel in the answer to a report, if it is the newest of its machine: a
+  // late copy of one carries nothing.
+  std::vector<Command> response_commands(const MachineId& machine, ReportNumber report) const;
   // Sends what the window admits; the rest stays due. Stops come first, then tasks in the order in
   // which placing chose them, then machines that did not answer the last time.
   void send(TimePoint now);
--- a/src/core/registry.cpp
+++ b/src/core/registry.cpp
@@ -3,7 +3,7 @@
 namespace violetpulley::core {
 
 namespace {
-constexpr std::chrono::seconds kRemembered{90};
+constexpr std::size_t kRemembered = 20'000;  // names: about two megabytes
 }  // namespace
 
 void Registry::save(Machine& machine) {
@@ -30,8 +30,13 @@
   out_.want_placing();
 }
 
-void Registry::forget_old(TimePoint now) {
-  std::erase_if(released_, [&](const auto& entry) { return now - entry.second > kRemembered; });
+void Registry::released(const MachineId& id) {
+  out_.push_back(DeleteMachine{id});
+  if (!released_.insert(id).second) return;
+  released_order_.push_back(id);
+  if (released_order_.size() <= kRemembered) return;
+  released_.erase(released_order_.front());
+  released_order_.pop_front();
 }
 
 }  // namespace violetpulley::core
--- a/src/core/registry.hpp
+++ b/src/core/registry.hpp
@@ -2,7 +2,8 @@
 // machines were returned lately, since the cloud's list and reports lag. Owns the latter.
 #pragma once
 
-#include <map>
+#include <deque>
+#include <set>
 
 #include "core/fleet.hpp"
 #include "core/outbox.hpp"
@@ -17,22 +18,21 @@
   void saved(const MachineId& id, bool with_endpoint, bool ok);
 
   // The cloud has proved that it is gone.
-  void released(const MachineId& id, TimePoint now) {
-    released_[id] = now;
-    out_.push_back(DeleteMachine{id});
-  }
+  void released(const MachineId& id);
+  // Copies of its reports may come long after its end: it is not forgotten while this leader leads,
+  // up to a bound of memory.
   bool was_released(const MachineId& id) const { return released_.contains(id); }
-  void forget_old(TimePoint now);
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.released_);
+    f(s.released_, s.released_order_);
   }
 
  private:
   Outbox& out_;
   Fleet& fleet_;
-  std::map<MachineId, TimePoint> released_;
+  std::set<MachineId> released_;
+  std::deque<MachineId> released_order_;
 };
 
 }  // namespace violetpulley::core
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -18,7 +18,7 @@
   }
   auto* known = fleet_.find(report.machine);
   if (known == nullptr) {
-    // A machine that was released may still have a report on its way.
+    // A machine that was released may still have a report on its way, or a copy of one.
     if (registry_.was_released(report.machine)) return;
     known = &fleet_.add(report.machine);
     known->since = now;
@@ -30,15 +30,17 @@
   if (machine.session != 0 && report.session > machine.session) {
     reckoning_.count(&Squared::new_sessions);
     assignments_.lose_all(machine, now);
+    contact_.new_session(machine);
   }
   fleet_.touch(machine);
   if (report.session > machine.session) machine.in_doubt.clear();
   const bool first = !machine.up();
   machine.session = report.session;
   machine.sequence = report.sequence;
-  machine.heard = now;
+  contact_.heard(machine, now);
   const bool moved =
       machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot;
+  if (machine.registered && machine.endpoint != report.endpoint) machine.registered = false;
   machine.endpoint = report.endpoint;
   if (first || moved) {
     machine.type = report.type;
@@ -50,12 +52,17 @@
     machine.up_since = now;
     orders_.want(machine);
   }
-  if (!machine.registered && !machine.registering) registry_.save(machine);
   if (report.token == token_ && !machine.confirmed) {
     machine.confirmed = true;
+    contact_.arrived(machine, now);  // our token did
     recovery_.accounted(machine.id);
     out_.want_placing();
   }
+  // One that nobody waits for and that does not know us may be the copy of a report of a machine
+  // that an older leader returned: neither a place for work, nor one that the next leader should
+  // wait for, nor one that what it lists is on. Until it answers, only what ended is believed.
+  const bool known_truth = machine.confirmed || recovery_.waits_for(machine.id);
+  if (machine.confirmed && !machine.registered && !machine.registering) registry_.save(machine);
   if (report.notice && !machine.notice_ends) {
     machine.notice_ends = now + to_duration(*report.notice);
     for (auto& [key, assignment] : machine.tasks)
@@ -82,8 +89,9 @@
     if (!abandoned) assignments_.lost(key);
     out_.want_placing();
   }
-  for (const auto& entry : report.tasks) absorb_task(machine, entry, now);
-  recovery_.note_foreign(machine);
+  for (const auto& entry : report.tasks)
+    if (known_truth || entry.state == TaskState::exited) absorb_task(machine, entry, now);
+  if (known_truth) recovery_.note_foreign(machine);
 }
 
 void Reports::absorb_task(Machine& machine, const TaskReport& entry, TimePoint now) {
@@ -91,6 +99,7 @@
   if (found == machine.tasks.end() || found->second.attempt != entry.attempt)
     return adopt(machine, entry, now);
   auto& assignment = found->second;
+  if (!assignment.seen) contact_.arrived(machine, now);  // its start did
   assignment.seen = true;
   if (entry.state == TaskState::exited) return absorb_exit(machine, entry, now);
   assignment.state = entry.state;
@@ -198,6 +207,7 @@
   if (machine == nullptr) return;
   orders_.answered(*machine, answer != nullptr, now);
   if (answer == nullptr) {
+    contact_.missed(*machine, machine->orders_sent);
     machine->in_doubt.insert(machine->starts_in_flight.begin(), machine->starts_in_flight.end());
     // One that is waited for is asked once more at once, so that a lost packet is told from a dead
     // machine.
@@ -210,6 +220,10 @@
   report(*answer, now);
   machine = fleet_.find(id);
   if (machine == nullptr) return;
+  // It came back on the connection that we opened. An answer that a later report has overtaken
+  // shows the same.
+  contact_.arrived(*machine, now);
+  out_.want_placing();
   if (!machine->confirmed) {
     machine->next_orders = now + milliseconds(50);
     orders_.want(*machine);
--- a/src/core/reports.hpp
+++ b/src/core/reports.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/assignments.hpp"
+#include "core/contact.hpp"
 #include "core/gangs.hpp"
 #include "core/reckoning.hpp"
 #include "core/registry.hpp"
@@ -12,13 +13,14 @@
 class Reports {
  public:
   Reports(const ControllerSettings& settings, Outbox& out, const Catalog& catalog, Fleet& fleet,
-          Jobs& jobs, Estimator& estimator, const Outlooks& outlooks, Recovery& recovery,
-          Reckoning& reckoning, Registry& registry, Orders& orders, Assignments& assignments,
-          Gangs& gangs, Token token)
+          Contact& contact, Jobs& jobs, Estimator& estimator, const Outlooks& outlooks,
+          Recovery& recovery, Reckoning& reckoning, Registry& registry, Orders& orders,
+          Assignments& assignments, Gangs& gangs, Token token)
       : settings_(settings),
         out_(out),
         catalog_(catalog),
         fleet_(fleet),
+        contact_(contact),
         jobs_(jobs),
         estimator_(estimator),
         outlooks_(outlooks),
@@ -44,6 +46,7 @@
   Outbox& out_;
   const Catalog& catalog_;
   Fleet& fleet_;
+  Contact& contact_;
   Jobs& jobs_;
   Estimator& estimator_;
   const Outlooks& outlooks_;
--- a/src/core/starts.cpp
+++ b/src/core/starts.cpp
@@ -1,6 +1,7 @@
 #include "core/starts.hpp"
 
 #include "core/assignments.hpp"
+#include "core/contact.hpp"
 #include "core/limits.hpp"
 #include "core/packer.hpp"
 #include "core/scaler.hpp"
@@ -20,6 +21,7 @@
 
 bool Starts::placeable(const Machine& machine, TimePoint now) const {
   if (!machine.up() || !machine.confirmed || !machine.registered || machine.releasing) return false;
+  if (!reached(machine)) return false;
   if (machine.clearing || machine.quarantined || machine.notice_ends) return false;
   return machine.heard && now - *machine.heard < to_duration(settings_.tuning.silent_after);
 }
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -336,14 +336,13 @@
     spdlog::warn("malformed report: {}", problem.what());
     return respond({400, R"({"error":"malformed report"})", {}});
   }
-  const bool outdated = report.token > token_;
-  const auto machine = report.machine;
-  feed(core::MachineReported{std::move(report)}, now);
-  respond({200,
-           agent::response_body(token_, outdated ? std::vector<core::Command>{}
-                                                 : controller_->response_commands(machine)),
-           {}});
+  const core::MachineReported event{std::move(report)};
+  feed(event, now);
   pump_soon();
+  // The worker would drop a 200 of a lower token and stay here while its lease runs out.
+  if (event.report.token > token_)
+    return respond({503, R"({"error":"another controller leads"})", std::chrono::seconds(1)});
+  respond({200, agent::response_body(token_, controller_->response_commands(event.report)), {}});
 }
 
 void Leader::finish(const core::FinishJob& action) {
--- a/tests/reckoning_test.cpp
+++ b/tests/reckoning_test.cpp
@@ -108,7 +108,7 @@
     report.sequence = sequence != 0 ? sequence : ++sequence_;
     report.tasks = std::move(tasks);
     controller_->report(report, now_);
-    for (const auto& command : controller_->response_commands(id)) commands_.push_back(command);
+    for (const auto& command : controller_->response_commands(report)) commands_.push_back(command);
     if (token <= kToken) last_[id] = std::move(report);
   }
   // A machine that is neither idle nor full.
@@ -344,6 +344,14 @@
   WorkerReport moved{"m1", "10.0.0.9:9", "bench", "a", true, 1, 1, kToken, {}, {}};
   controller_->report(moved, now_);
   controller_->tick(now_, true, now_);
+  std::string stored_endpoint;
+  for (auto& action : controller_->take_actions())
+    if (const auto* save = std::get_if<SaveMachine>(&action))
+      stored_endpoint = save->record.endpoint;
+  // The next leader has to find it there, too: nothing starts before that is stored.
+  EXPECT_EQ(stored_endpoint, "10.0.0.9:9");
+  controller_->machine_saved("m1", true, true);
+  controller_->tick(now_ + milliseconds(200), true, now_);
   std::string endpoint;
   for (auto& action : controller_->take_actions())
     if (const auto* orders = std::get_if<SendOrders>(&action)) endpoint = orders->endpoint;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -118,8 +118,9 @@
     if (now_ < worker.next_report) return;
     worker.next_report = now_ + std::chrono::seconds(5);
     ++outcome_.events;
-    controller_.report(report_of(worker), now_);
-    for (const auto& command : controller_.response_commands(worker.id)) execute(worker, command);
+    const auto report = report_of(worker);
+    controller_.report(report, now_);
+    for (const auto& command : controller_.response_commands(report)) execute(worker, command);
   }
 
   void execute(Worker& worker, const core::Command& command) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -610,7 +610,7 @@
       feed(*leader, MachineReported{report});
       const auto token = leader->token;
       const auto commands =
-          report.token > token ? std::vector<Command>{} : leader->controller->response_commands(id);
+          report.token > token ? std::vector<Command>{} : leader->controller->response_commands(report);
       if (chance(loss())) return;
       later(Seconds(0.02), [this, id, sent, token, commands, session = report.session] {
         const auto found = workers_.find(id);
