Back in a fraction of a second: a former life's key is ended at once; no wait on a cut-off node

A process that found its own name under the leader key waited, like all others, until the hold of its former life ran out. It ends that hold now. What is concluded from a connection that ended is about the key under which the sibling led then; a later life is left alone. While the state service gives no answer at all, a user's request is answered 503 at once instead of after 1.5 s, a question that would wait for over a second behind a flood as well, and a node that has lost the store and its siblings is unhealthy after 3 s, not 6.

--- a/src/api/user_api.cpp
+++ b/src/api/user_api.cpp
@@ -67,6 +67,8 @@
   mirror_.barrier(Urgency::user, [this, id, told = std::move(told)](bool fresh) {
     if (!fresh) return told(std::nullopt);
     if (mirror_.find(id) != nullptr) return told(Known::open);
+    // A user waits for two seconds: behind a flood of questions it is told at once to come back.
+    if (store_.expected_read_wait() > kLongestWait) return told(std::nullopt);
     store_.get(store::kEndPrefix + id, Urgency::user,
                [this, id, told, alive = alive_](store::GetResult result) {
                  if (!*alive) return;
@@ -128,9 +130,7 @@
 }
 
 void UserApi::accept(core::JobSpec spec, const net::Responder& respond) {
-  core::JobRecord record{
-      std::move(spec),
-      wall_now(), 0};
+  core::JobRecord record{std::move(spec), wall_now(), 0};
   const auto& id = record.spec.id;
   store::Transaction transaction{{{store::kJobPrefix + id, 0}, {store::kEndPrefix + id, 0}},
                                  {{store::kJobPrefix + id, record_to_json(record), std::nullopt}}};
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -105,6 +105,7 @@
                               if (!self->connected_) return;
                               self->connected_ = false;
                               self->was_closed_ = true;
+                              self->mesh_->events_.ended(self->sibling_.member);
                               self->connect();
                             });
   }
--- a/src/mesh/mesh.hpp
+++ b/src/mesh/mesh.hpp
@@ -47,6 +47,9 @@
  public:
   struct Events {
     std::function<void(const Status&)> heard;
+    // Our connection to the sibling ended: whatever is concluded from it later is about the life of
+    // its process that held it.
+    std::function<void(const std::string& member)> ended;
     // The sibling closed its connection and refuses new ones while another one is connected: its
     // process has most likely ended.
     std::function<void(const std::string& member)> gone;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -68,7 +68,12 @@
       store_answered_(started_),
       mesh_(io, net::parse_endpoint(settings_.mesh_address), settings_.siblings,
             {[this](const mesh::Status& status) { heard(status); },
-             [this](const std::string& member) { election_.end_hold_of(member); }}),
+             [this](const std::string& member) {
+               siblings_[member].led_by = election_.led_by(member);
+             },
+             [this](const std::string& member) {
+               election_.end_hold_of(member, siblings_[member].led_by);
+             }}),
       server_(
           io, net::parse_endpoint(settings_.public_address), server_limits(settings_),
           [this](net::Request&& request, const net::Responder& respond) {
@@ -246,8 +251,9 @@
   server_.set_limits(shares.accepted(budget.sockets), shares.reports, shares.users);
 }
 
-// A node alone in having lost the store is unhealthy. In an outage that all share it stays: each
-// removal would double the time that it stays out afterwards.
+// A node alone in having lost the store is unhealthy, and so is one that has lost its siblings with
+// it: users are not to wait on it. In an outage that all share it stays: each removal would double
+// the time that it stays out afterwards.
 bool Node::healthy() const {
   const auto now = Clock::now();
   if (!mirror_.synced()) return false;
@@ -258,7 +264,7 @@
     any_heard = true;
     if (now - view.store_answered < kStoreLost) return false;
   }
-  return any_heard || now - store_answered_ < 2 * kStoreLost;
+  return any_heard;
 }
 
 void Node::health(const net::Responder& respond) {
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -21,6 +21,8 @@
     core::TimePoint heard{};
     core::TimePoint store_answered{};
     std::uint64_t token = 0;
+    // Under which key it led when our connection to it ended last; 0: it did not.
+    store::Revision led_by = 0;
   };
 
   void route(net::Request&& request, const net::Responder& respond);
--- a/src/store/election.cpp
+++ b/src/store/election.cpp
@@ -85,6 +85,7 @@
       leader_ = LeaderInfo{"", "", 0, revision};
     }
     if (leadership_.leading() && revision > leadership_.token()) lose("another node leads");
+    end_former_life();
   } else {
     leader_.reset();
     if (leadership_.leading() && revision > leadership_.token()) lose("the leader key is gone");
@@ -92,6 +93,18 @@
   events_.leader_changed();
 }
 
+// A process that finds its own name under the key and does not lead is not the leader: the key is
+// of a former life, whose process has ended, or was written by a request of ours that was given up.
+// Nobody leads until that hold has run out, so it is ended at once: a process that was back within
+// a fraction of a second used to lock everybody out for the hold's full time.
+void Election::end_former_life() {
+  if (!leader_ || leader_->member != member_ || leadership_.leading()) return;
+  if (leader_->hold == standing_hold_) return;  // written just now; its answer is on its way
+  spdlog::info("the leader key of revision {} is of a former life of this controller: ending it",
+               leader_->revision);
+  store_.end_hold(leader_->hold);
+}
+
 void Election::stand() {
   if (standing_ || leadership_.leading()) return;
   const auto now = Clock::now();
@@ -119,12 +132,14 @@
       return store_.end_hold(hold);
     }
     const auto sent = Clock::now();
+    standing_hold_ = hold;
     Transaction create{
         {{kKey, 0}},
         {{kKey, Json{{"member", member_}, {"mesh", mesh_address_}, {"hold", hold}}, hold}}};
     store_.commit(create, Urgency::safety,
                   [this, again, hold, sent, alive](TransactionResult result) {
                     if (!*alive) return;
+                    standing_hold_ = 0;
                     if (result.outcome != Outcome::ok) {
                       // Without an answer the key may exist under this hold: end it with the hold.
                       store_.end_hold(hold);
@@ -193,8 +208,8 @@
   store_.end_hold(hold);
 }
 
-void Election::end_hold_of(const std::string& member) {
-  if (!leader_ || leader_->member != member || member == member_) return;
+void Election::end_hold_of(const std::string& member, Revision led_by) {
+  if (led_by == 0 || this->led_by(member) != led_by || member == member_) return;
   spdlog::info("leader {} is gone: ending its hold", member);
   store_.end_hold(leader_->hold);
 }
--- a/src/store/election.hpp
+++ b/src/store/election.hpp
@@ -32,8 +32,13 @@
   void resign(const std::string& cause, std::chrono::milliseconds stand_back);
   // Reads the leader key: its success proves leadership as of the sending.
   void prove(std::function<void(bool)> done);
-  // A sibling's process is gone for sure: end its hold instead of waiting for it to run out.
-  void end_hold_of(const std::string& member);
+  // The revision of the key under which this member leads, as far as is known; 0: it does not.
+  Revision led_by(const std::string& member) const {
+    return leader_ && leader_->member == member ? leader_->revision : 0;
+  }
+  // The process that led under this revision is gone for sure: end its hold instead of waiting for
+  // it to run out. A later life of it, with a key of its own, is left alone.
+  void end_hold_of(const std::string& member, Revision led_by);
 
   const std::optional<LeaderInfo>& leader() const { return leader_; }
   // When the store last answered anything about leadership.
@@ -44,6 +49,7 @@
   void reload();
   void watch();
   void apply(const std::optional<Json>& value, Revision revision);
+  void end_former_life();
   void stand();
   void renew();
   void renew_later(std::chrono::milliseconds wait);
@@ -61,6 +67,7 @@
   std::optional<LeaderInfo> leader_;
   Revision seen_ = 0;
   bool standing_ = false;
+  std::uint64_t standing_hold_ = 0;  // of the key that is being written; 0: none
   core::TimePoint stand_back_until_{};
   core::TimePoint last_answer_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -46,7 +46,8 @@
 
 StoreClient::StoreClient(asio::io_context& io, const asio::ip::tcp::endpoint& peer,
                          StoreShare share, std::uint64_t seed)
-    : timer_(io),
+    : io_(io),
+      timer_(io),
       client_(io, peer, 16),
       watch_client_(io, peer, 6),
       requests_(share.requests_per_s, share.requests_per_s),
@@ -62,6 +63,12 @@
 
 void StoreClient::send(Work work, Urgency urgency) {
   const auto now = Clock::now();
+  if (urgency == Urgency::user && silent(now)) {
+    asio::post(io_, [done = std::move(work.handler), alive = alive_] {
+      if (*alive) done(std::nullopt);
+    });
+    return;
+  }
   work.patience = now + work.timeout / 2;
   const auto lane = lane_of(work, urgency);
   if (urgency == Urgency::safety) {
@@ -73,7 +80,15 @@
   pump();
 }
 
-void StoreClient::note(const std::optional<net::Response>& response) {
+bool StoreClient::silent(core::TimePoint now) const {
+  return unanswered_since_ && now - *unanswered_since_ >= kTimeout;
+}
+
+void StoreClient::note(const std::optional<net::Response>& response, core::TimePoint sent) {
+  if (response)
+    unanswered_since_.reset();
+  else if (!unanswered_since_)
+    unanswered_since_ = sent;
   if (response && response->status == 429) {
     back_off_ = std::clamp(back_off_ * 2, milliseconds(50), milliseconds(1000));
     std::uniform_int_distribution<long> jitter(back_off_.count() / 2, back_off_.count());
@@ -88,10 +103,10 @@
   auto request = work.request;
   const auto timeout = work.timeout;
   client_.request(std::move(request), timeout,
-                  [this, lane, alive = alive_,
+                  [this, lane, alive = alive_, sent = Clock::now(),
                    work = std::move(work)](std::optional<net::Response> response) mutable {
                     if (!*alive) return;
-                    note(response);
+                    note(response, sent);
                     if (response && response->status == 429 && Clock::now() < work.patience) {
                       lanes_[lane].push_front(std::move(work));
                       return pump();
@@ -102,12 +117,15 @@
 }
 
 void StoreClient::launch_watch(Work work) {
-  requests_.force(Clock::now());
+  const auto now = Clock::now();
+  requests_.force(now);
   watch_client_.request(std::move(work.request), work.timeout,
-                        [this, alive = alive_,
+                        [this, alive = alive_, now,
                          done = std::move(work.handler)](std::optional<net::Response> response) {
                           if (!*alive) return;
-                          note(response);
+                          // One that waits for changes may stay open through an outage, and tells
+                          // nothing by that.
+                          if (response) note(response, now);
                           done(std::move(response));
                         });
 }
@@ -125,6 +143,12 @@
   return std::max(resume_at_ - now, writes_.wait_until(now, writes));
 }
 
+core::Duration StoreClient::expected_read_wait() {
+  const auto now = Clock::now();
+  const auto ahead = static_cast<double>(lanes_[user_reads].size()) + 1;
+  return std::max(resume_at_ - now, requests_.wait_until(now, ahead));
+}
+
 bool StoreClient::idle() const {
   return std::all_of(lanes_.begin(), lanes_.end(), [](const auto& lane) { return lane.empty(); });
 }
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -103,6 +103,12 @@
 
   // How long a user's write would wait for the pace if it came now: callers shed load on it.
   core::Duration expected_wait();
+  // The same for a user's read.
+  core::Duration expected_read_wait();
+  // Requests have stayed without any answer for longer than one is waited for: a user's request is
+  // then given up at once, since what cannot be taken is not held. The background ones go on
+  // asking.
+  bool silent(core::TimePoint now) const;
   // From one write of this node to the next, at its pace.
   core::Duration write_interval() const {
     return core::to_duration(core::Seconds(1.0 / writes_.rate()));
@@ -128,11 +134,12 @@
   void send(Work work, Urgency urgency);
   void launch(Work work, Lane lane);
   void launch_watch(Work work);
-  void note(const std::optional<net::Response>& response);
+  void note(const std::optional<net::Response>& response, core::TimePoint sent);
   void pump();
   void list_page(const std::string& prefix, const std::string& since, Urgency urgency,
                  std::shared_ptr<ListResult> gathered, std::function<void(ListResult)> done);
 
+  asio::io_context& io_;
   asio::steady_timer timer_;
   net::HttpClient client_;
   net::HttpClient watch_client_;
@@ -142,6 +149,7 @@
   std::mt19937_64 random_;
   core::TimePoint resume_at_{};
   std::chrono::milliseconds back_off_{0};
+  std::optional<core::TimePoint> unanswered_since_;  // sending of the first that got no answer
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -16,7 +16,8 @@
   std::array<asio::ip::tcp::endpoint, 3> at{free_port(io), free_port(io), free_port(io)};
   std::array<std::unique_ptr<Mesh>, 3> nodes;
   std::set<std::string> heard;
-  std::set<std::string> gone;  // as node 0 sees it
+  std::set<std::string> ended;  // connections, as node 0 sees it
+  std::set<std::string> gone;
 
   Three() {
     for (std::size_t i = 0; i < 3; ++i) {
@@ -24,9 +25,11 @@
       for (std::size_t j = 0; j < 3; ++j)
         if (j != i)
           siblings.push_back({std::to_string(j), "", "127.0.0.1:" + std::to_string(at[j].port())});
-      Mesh::Events events{[](const Status&) {}, [](const std::string&) {}};
+      Mesh::Events events{[](const Status&) {}, [](const std::string&) {},
+                          [](const std::string&) {}};
       if (i == 0)
         events = {[this](const Status& status) { heard.insert(status.member); },
+                  [this](const std::string& member) { ended.insert(member); },
                   [this](const std::string& member) { gone.insert(member); }};
       nodes[i] = std::make_unique<Mesh>(io, at[i], siblings, events);
     }
