Worlds with what operators met: heard and not reached, late copies, leaders that keep their workers

The simulated world learns reports that arrive while nothing reaches the machine, copies up to three leases late, a leader that has lost the store and its siblings and keeps its workers, processes and machines that are back within a fraction of a second, with or without a new session and endpoint. Every accepted job must be known 75 s after the last trouble, each by itself.

Found by reading for it: a machine that comes back without its tasks in the same session may be sent a start that was held on its way, and would run it beside the new copy. Such a task is started there again under its attempt.

--- a/src/core/assignments.cpp
+++ b/src/core/assignments.cpp
@@ -44,6 +44,16 @@
   fleet_.unassign(machine, key);
 }
 
+void Assignments::unseen(Machine& machine, const TaskKey& key, TimePoint now) {
+  auto assignment = machine.tasks.at(key);
+  drop(machine, key, now);
+  assignment.seen = false;
+  assignment.state = TaskState::fetching;
+  assignment.running_since.reset();
+  assignment.placed = now;
+  fleet_.assign(machine, key, std::move(assignment));
+}
+
 void Assignments::lost(const TaskKey& key) {
   const auto found = jobs_.find(key.job);
   if (found == jobs_.end() || key.index >= found->second.tasks.size()) return;
--- a/src/core/assignments.hpp
+++ b/src/core/assignments.hpp
@@ -19,6 +19,8 @@
   void runs_now(Assignment& assignment, Job* job, TimePoint now);
   // `stored`: its progress was saved when it was stopped.
   void drop(Machine& machine, const TaskKey& key, TimePoint now, bool stored = false);
+  // It is not there any more, and a start that was held may bring it back under this attempt.
+  void unseen(Machine& machine, const TaskKey& key, TimePoint now);
   // The task is proven gone and must run again.
   void lost(const TaskKey& key);
   void lose_all(Machine& machine, TimePoint now);
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -84,6 +84,12 @@
     if (assignment.seen && !std::binary_search(listed.begin(), listed.end(), assignment.attempt))
       gone.push_back(key);
   for (const auto& key : gone) {
+    // A machine that came back without its tasks may yet be sent a start that was held on its way,
+    // and would run it anew. So it is started there again, where that start has no effect then.
+    if (machine.in_doubt.contains(machine.tasks.at(key).attempt)) {
+      assignments_.unseen(machine, key, now);
+      continue;
+    }
     const bool abandoned = machine.tasks.at(key).abandoned;
     assignments_.drop(machine, key, now);
     if (!abandoned) assignments_.lost(key);
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -18,7 +18,10 @@
   world.run(troubled);
   world.quiet();
   world.stop_submitting();
-  world.run(Seconds(550));
+  // A job that no answer is about for 75 s after the last trouble is forgotten.
+  world.run(Seconds(75));
+  world.expect_all_known();
+  world.run(Seconds(475));
   EXPECT_EQ(world.missing_replicas(), 0U) << world.state();
   world.cancel_services();
   world.run(Seconds(50));
@@ -64,6 +67,23 @@
   EXPECT_GT(world.marks(), 0U);
 }
 
+// With what operators met later: heard and not reached, late copies, a leader that keeps only its
+// workers, processes and machines that are back within a fraction of a second.
+class Operations : public ::testing::TestWithParam<int> {};
+
+TEST_P(Operations, KeepsEveryRuleAndFinishes) {
+  const auto seed = static_cast<std::uint64_t>(GetParam());
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  World world(seed);
+  world.operators_troubles(seed);
+  if (seed % 4 == 0) world.commit_starts(true);
+  expect_all_runs(world, Seconds(400));
+  EXPECT_GT(world.late_copies(), 10U);
+  EXPECT_GT(world.not_reached() + world.came_back() + world.kept_workers(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Operations, ::testing::Range(501, 501 + seeds(32)));
+
 INSTANTIATE_TEST_SUITE_P(Seeds, Committing, ::testing::Range(201, 201 + seeds(48)));
 INSTANTIATE_TEST_SUITE_P(Seeds, Simulation, ::testing::Range(1, 1 + seeds(24)));
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -48,6 +48,9 @@
   bool sick = false;
   TimePoint up_at{};
   TimePoint hangs_until{};
+  TimePoint unreached_until{};  // its reports arrive; nothing that it is told does
+  bool follows_stale = false;   // it reports to a leader that has lost the store and its siblings
+  int lives = 1;                // of the machine: each has an endpoint of its own
   std::uint64_t session = 1;
   std::uint64_t sequence = 0;
   Token token = 0;
@@ -66,7 +69,8 @@
   std::unique_ptr<Controller> controller;
   Leadership leadership;
   Token token = 0;
-  bool cut = false;  // from the store, and from the workers on the far side
+  bool cut = false;            // from the store, and from the workers on the far side
+  bool keeps_workers = false;  // it has lost the store and the others, and no worker
   std::set<MachineId> far_side;
 };
 
@@ -93,6 +97,22 @@
   }
 
   void quiet() { troubles_ = false; }
+  // The troubles that operators met later, beside the others; their chances are drawn apart, so
+  // that the worlds without them stay what they were.
+  void operators_troubles(std::uint64_t seed) {
+    operators_ = true;
+    more_random_.seed(seed * 7919 + 17);
+  }
+  std::size_t late_copies() const { return late_copies_; }
+  std::size_t not_reached() const { return not_reached_; }
+  std::size_t came_back() const { return came_back_; }
+  std::size_t kept_workers() const { return kept_workers_; }
+  // Every accepted job, each by itself: one that the leader does not know would be forgotten.
+  void expect_all_known() const {
+    ASSERT_NE(leader_, nullptr);
+    for (const auto& [id, job] : jobs_)
+      EXPECT_TRUE(leader_->controller->jobs().contains(id)) << "forgotten " << id;
+  }
   // Told of what enters the newest leader, and of what it asks for, as a history would be.
   void watch(Watcher watcher) {
     watcher_ = std::move(watcher);
@@ -150,6 +170,12 @@
   double between(double low, double high) {
     return std::uniform_real_distribution<double>(low, high)(random_);
   }
+  bool more_chance(double probability) {
+    return operators_ && troubles_ && more_between(0, 1) < probability;
+  }
+  double more_between(double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(more_random_);
+  }
   void later(Seconds delay, std::function<void()> what) {
     events_.emplace(now_ + to_duration(delay), std::move(what));
   }
@@ -165,6 +191,7 @@
       what();
     }
     if (troubles_) trouble();
+    if (troubles_ && operators_) more_trouble();
     users();
     for (auto& [id, worker] : workers_) live(worker);
     gangs();
@@ -180,7 +207,7 @@
     ++revision_;
     leader_token_ = revision_;
     leader_ = std::make_unique<LeaderProcess>(
-        LeaderProcess{nullptr, Leadership(kTimes, milliseconds(25)), revision_, false, {}});
+        LeaderProcess{nullptr, Leadership(kTimes, milliseconds(25)), revision_, false, false, {}});
     leader_->leadership.won(revision_, 1, now_);
     Inheritance inheritance;
     for (const auto& [id, record] : machine_records_) inheritance.machines.push_back(record);
@@ -230,6 +257,8 @@
     leader_.reset();
     leader_token_ = 0;
     next_takeover_ = now_ + to_duration(Seconds(between(0.1, 4)));
+    // Its process is back within a fraction of a second and ends its former life's hold.
+    if (more_chance(0.5)) next_takeover_ = now_ + to_duration(Seconds(more_between(0.01, 0.3)));
   }
 
   void drive(LeaderProcess& leader) {
@@ -254,6 +283,7 @@
   }
   bool store_takes(Token token) const { return token == leader_token_; }
   bool reaches(const LeaderProcess& leader, const MachineId& id) const {
+    if (stale_ && stale_->keeps_workers) return true;
     if (leader.cut) return leader.far_side.contains(id);
     return stale_ == nullptr || !stale_->far_side.contains(id);
   }
@@ -276,6 +306,15 @@
     if (found == workers_.end() || found->second.gone || now_ < found->second.up_at)
       return answered ? orders_lost(token, orders.machine) : void();
     auto& worker = found->second;
+    if (now_ < worker.unreached_until) {
+      ++not_reached_;
+      if (answered)
+        later(Seconds(2), [this, token, id = orders.machine] { orders_lost(token, id); });
+      const auto rest = Seconds(worker.unreached_until - now_);
+      if (more_chance(0.7))
+        later(rest + Seconds(0.01), [this, token, orders] { deliver(token, orders, false); });
+      return;
+    }
     if (now_ < worker.hangs_until) {
       const auto rest = Seconds(worker.hangs_until - now_);
       later(rest + Seconds(0.01), [this, token, orders] { deliver(token, orders, false); });
@@ -586,8 +625,16 @@
   }
 
   WorkerReport report_of(Worker& worker) {
-    WorkerReport report{worker.id,      "10.0.0.1:1",      worker.type,  worker.zone, worker.spot,
-                        worker.session, ++worker.sequence, worker.token, {},          {}};
+    WorkerReport report{worker.id,
+                        "10.0.0.1:" + std::to_string(worker.lives),
+                        worker.type,
+                        worker.zone,
+                        worker.spot,
+                        worker.session,
+                        ++worker.sequence,
+                        worker.token,
+                        {},
+                        {}};
     if (worker.taken_at) report.notice = Seconds(*worker.taken_at - now_);
     for (const auto& [key, task] : worker.tasks)
       report.tasks.push_back({key.first, key.second, task.state, task.cause, task.stored});
@@ -597,6 +644,7 @@
   void send_report(Worker& worker) {
     const auto report = report_of(worker);
     const auto sent = now_;
+    if (more_chance(0.03)) copy_later(report);
     if (chance(loss())) {
       // Held: it arrives late, and its answer is dropped.
       later(Seconds(between(5, 40)), [this, report] {
@@ -605,12 +653,15 @@
       return;
     }
     later(Seconds(between(0.001, 0.1)), [this, report, sent, id = worker.id] {
-      auto* leader = stale_ && stale_->far_side.contains(id) ? stale_.get() : leader_.get();
-      if (leader == nullptr || !leader->leadership.may_serve(now_)) return;
+      auto* leader = listens_to(id);
+      if (leader == nullptr || !leader->leadership.may_serve(now_)) return moves_on(id);
       feed(*leader, MachineReported{report});
       const auto token = leader->token;
-      const auto commands =
-          report.token > token ? std::vector<Command>{} : leader->controller->response_commands(report);
+      if (report.token > token) return moves_on(id);
+      const auto commands = leader->controller->response_commands(report);
+      if (const auto worker = workers_.find(id);
+          worker != workers_.end() && now_ < worker->second.unreached_until)
+        return;
       if (chance(loss())) return;
       later(Seconds(0.02), [this, id, sent, token, commands, session = report.session] {
         const auto found = workers_.find(id);
@@ -627,6 +678,34 @@
     });
   }
 
+  // A copy arrives once more, from seconds to well over a lease later, whatever became of the
+  // machine and of who led then.
+  void copy_later(const WorkerReport& report) {
+    later(Seconds(more_between(1, 3 * kTimes.lease.count())), [this, report] {
+      ++late_copies_;
+      for (auto* leader : {&leader_, &stale_})
+        if (*leader && (*leader)->leadership.may_serve(now_)) {
+          feed(**leader, MachineReported{report});
+          if (report.token <= (*leader)->token) (*leader)->controller->response_commands(report);
+        }
+    });
+  }
+
+  LeaderProcess* listens_to(const MachineId& id) {
+    if (!stale_) return leader_.get();
+    if (!stale_->keeps_workers) return stale_->far_side.contains(id) ? stale_.get() : leader_.get();
+    const auto worker = workers_.find(id);
+    return worker != workers_.end() && worker->second.follows_stale ? stale_.get() : leader_.get();
+  }
+  // No answer that counts: it tries the next controller a second later.
+  void moves_on(const MachineId& id) {
+    const auto worker = workers_.find(id);
+    if (worker == workers_.end() || !worker->second.follows_stale) return;
+    worker->second.follows_stale = false;
+    worker->second.next_report =
+        std::min(worker->second.next_report, now_ + std::chrono::seconds(1));
+  }
+
   // --- users
   void users() {
     if (chance(submitting_ ? 0.025 : 0)) {
@@ -732,6 +811,37 @@
     if (workers_.empty() || (!leader_ && workers_.size() < 2)) boot("small", "a", true, now_);
   }
 
+  // What operators met later (PROTOCOL's additions).
+  void more_trouble() {
+    // A controller loses the state service and the others, and keeps its workers.
+    if (leader_ && !stale_ && more_chance(0.0015)) {
+      ++kept_workers_;
+      stale_ = std::move(leader_);
+      stale_->cut = stale_->keeps_workers = true;
+      for (auto& [id, worker] : workers_) worker.follows_stale = true;
+      lead_no_more();
+      later(Seconds(more_between(2, 2 * kTimes.cancel.count())), [this] {
+        stale_.reset();
+        for (auto& [id, worker] : workers_) worker.follows_stale = false;
+      });
+    }
+    for (auto& [id, worker] : workers_) {
+      if (worker.gone || now_ < worker.up_at) continue;
+      if (more_chance(0.0004))
+        worker.unreached_until = now_ + to_duration(Seconds(more_between(2, 60)));
+      // A machine is back within a fraction of a second, without its tasks; its endpoint may be
+      // another one, and its session need not have grown.
+      if (more_chance(0.0002)) {
+        ++came_back_;
+        worker.tasks.clear();
+        worker.images.clear();
+        if (more_chance(0.7)) ++worker.session;
+        if (more_chance(0.5)) ++worker.lives;
+        worker.next_report = now_ + to_duration(Seconds(more_between(0.05, 0.9)));
+      }
+    }
+  }
+
   // --- the rules
   void check() {
     std::map<TaskKey, MachineId> live;
@@ -773,6 +883,12 @@
 
  private:
   std::mt19937_64 random_;
+  bool operators_ = false;
+  std::mt19937_64 more_random_;
+  std::size_t late_copies_ = 0;
+  std::size_t not_reached_ = 0;
+  std::size_t came_back_ = 0;
+  std::size_t kept_workers_ = 0;
   TimePoint now_{};
   std::multimap<TimePoint, std::function<void()>> events_;
   bool troubles_ = true;
