--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -68,7 +68,8 @@
     const bool guaranteed = team != catalog_.teams().end() && covers(team->second, claim);
     const auto estimate = outlooks_.estimate_left(*job, *job->waiting.begin());
     const double size = spec.per_task.gpus > 0 ? waiting.gpus : waiting.cpus;
-    const bool aged = job->gang() && outlooks_.age(*job, now) > kGangAges;
+    const bool aged =
+        job->gang() ? outlooks_.age(*job, now) > kGangAges : standing_.stands_whole(*job, now);
     queue.push_back({job, estimate, guaranteed, outlooks_.outlook(*job, now),
                      estimate.count() * size, aged, standing_.due(*job, now)});
   }
@@ -167,6 +168,7 @@
   if (catalog_.types().empty()) return;
   recovery_.refresh();
   scarcity_.note_narrow_types(now);
+  standing_.new_round();
   const auto queue = waiting_jobs(now);
   scarcity_.note_waiting(std::any_of(queue.begin(), queue.end(), [&](const Candidate& candidate) {
     return std::any_of(catalog_.types().begin(), catalog_.types().end(), [&](const auto& entry) {
@@ -199,7 +201,6 @@
   for (auto* machine : open) packer.offer(*machine);
   place_bound(packer, now);
   gangs_.new_round();
-  standing_.new_round();
   starts_left_ = std::max(kLeastStarts, kStartsPerOrder * orders_.window().size());
   // Two passes: room first goes to tasks whose image is there, whatever their place in the queue,
   // unless a task has waited for as long as its fetch takes; then to the others.
--- a/src/core/queue.hpp
+++ b/src/core/queue.hpp
@@ -12,7 +12,7 @@
   bool guaranteed = false;
   Outlook outlook = Outlook::hopeless;
   double work = 0;    // of its waiting tasks
-  bool aged = false;  // a gang that has waited long: smaller ones pass it no more
+  bool aged = false;  // a gang or a large job that has waited long: smaller ones pass it no more
   bool due = false;   // it must begin now: it stands ahead of all others until it has
 };
 
--- a/src/core/standing.cpp
+++ b/src/core/standing.cpp
@@ -11,6 +11,7 @@
 // Of the time in which a job must begin, the part after which it stands ahead: the rest is for a
 // place that has to run free, an image and a boot.
 constexpr double kStandsAfter = 0.4;
+constexpr double kLargest = 0.9;     // the largest tenth of a class's open jobs
 constexpr double kGivenUpAfter = 2;  // no limit is left to it any longer
 }  // namespace
 
@@ -18,6 +19,26 @@
   return !job.begun && outlooks_.age(job, now) > settings_.tuning.begin_within * kStandsAfter;
 }
 
+bool Standing::stands_whole(const Job& job, TimePoint now) const {
+  const auto largest = largest_.find(job.spec().job_class);
+  return !job.gang() && !job.service() && largest != largest_.end() &&
+         job.tasks.size() >= largest->second &&
+         outlooks_.age(job, now) > settings_.tuning.begin_within * kStandsAfter;
+}
+
+void Standing::new_round() {
+  blocked_teams_.clear();
+  largest_.clear();
+  std::map<std::string, std::vector<TaskIndex>> sizes;
+  for (const auto& [id, job] : jobs_)
+    sizes[job.spec().job_class].push_back(static_cast<TaskIndex>(job.tasks.size()));
+  for (auto& [name, all] : sizes) {
+    const auto at = all.begin() + static_cast<long>(static_cast<double>(all.size()) * kLargest);
+    std::nth_element(all.begin(), at, all.end());
+    largest_[name] = *at;
+  }
+}
+
 // What the team may use beside what it has running for good. A job that does not fit into that
 // cannot be helped: found by seed 692 of Operations, where a gang of the size of its team's limit
 // held up the team for ever, since replicas of the same team ran.
--- a/src/core/standing.hpp
+++ b/src/core/standing.hpp
@@ -5,6 +5,7 @@
 // have to leave their limit to one.
 #pragma once
 
+#include <map>
 #include <set>
 
 #include "core/bindings.hpp"
@@ -27,7 +28,11 @@
   // Nothing of it has begun, and the time in which it should is partly used up.
   bool due(const Job& job, TimePoint now) const;
 
-  void new_round() { blocked_teams_.clear(); }
+  // One of its class's largest that still has tasks to start after that time: within its priority
+  // it comes before all others, whole, the oldest first.
+  bool stands_whole(const Job& job, TimePoint now) const;
+
+  void new_round();
   // A job that is due was looked at and has not begun: where its team's limit is in the way, what
   // the team frees is kept for it.
   void passed(const Job& job, TimePoint now);
@@ -56,7 +61,8 @@
   const Bindings& bindings_;
   MachineId held_;
   JobId held_for_;
-  std::set<std::string> blocked_teams_;  // in this round
+  std::set<std::string> blocked_teams_;       // in this round
+  std::map<std::string, TaskIndex> largest_;  // by class: from how many tasks on, in this round
 };
 
 }  // namespace violetpulley::core
--- a/tests/leader_of_workers.hpp
+++ b/tests/leader_of_workers.hpp
@@ -43,6 +43,7 @@
     ControllerSettings settings;
     settings.teams = {{"t", 0, 0, 0, 0}, {"narrow", 0, 8, 0, 0}};
     settings.cloud_calls_per_s = 10;
+    settings.wall_at_start = wall_now();
     settings.resigns_when_deaf = resigns_when_deaf_;
     settings.tuning.idle_wait = Seconds(10'000);
     controller_ =
@@ -51,8 +52,12 @@
     next_ = now_;
   }
   static std::string name(int i) { return "m" + std::to_string(100 + i); }
-  static JobRecord job(const JobId& id, TaskIndex tasks) {
+  WallTime wall_now() const {
+    return WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()));
+  }
+  JobRecord job(const JobId& id, TaskIndex tasks) const {
     JobRecord record;
+    record.submitted = wall_now();
     record.spec.id = id;
     record.spec.team = "t";
     record.spec.tasks = tasks;
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -97,6 +97,16 @@
   expect_begun_in_time();
 }
 
+// Its first task alone would not bring it to an end: small work of its class passed the others.
+TEST_F(LargestJobs, TheLargestOfAClassStandsWholeWithinItsPriority) {
+  auto record = large(40);
+  record.spec.per_task = {1, 0, 1};
+  open(record);
+  flow(Seconds(220), Priority::normal, "t");
+  const auto job = controller_->jobs().find("req-1");
+  EXPECT_TRUE(job == controller_->jobs().end() || job->second.waiting.empty());
+}
+
 // Only the first task stands ahead, and only one machine is held.
 TEST_F(LargestJobs, TheFlowGoesOnMeanwhile) {
   auto record = large(4, Priority::idle);
@@ -104,12 +114,12 @@
   begin(2, 0);
   flow(Seconds(20), Priority::normal, "t");
   const auto before = done_.size();
-  flow(Seconds(250), Priority::high, "t");
+  flow(Seconds(250), Priority::high, "t", 0.4);
   const auto alone = done_.size() - before;
   controller_->job_opened(record, now_);
-  flow(Seconds(250), Priority::high, "t");
+  flow(Seconds(250), Priority::high, "t", 0.4);
   const auto beside = done_.size() - before - alone;
-  EXPECT_GT(beside, alone * 2 / 3);
+  EXPECT_GT(beside, alone * 4 / 5);
 }
 
 }  // namespace
