Cut off a second time: a leader steps back if workers come to others; a cut's end is nobody's fault

When the cut ended it returned 137 healthy machines: 93 out of reach for as long as the cut, 44 silent since they had not come yet.

Change: controllers tell each other how long ago a worker came to them. A leader that hears nobody steps back whatever it did lately if workers came to a sibling within three seconds. Being out of reach counts while a machine is heard, and silence from the moment at which anybody is heard again.

--- a/src/core/contact.cpp
+++ b/src/core/contact.cpp
@@ -17,10 +17,18 @@
 constexpr Seconds kLeastDeaf{2.5};
 constexpr Seconds kAskedAgain{3};  // an unanswered ask, the pause after it, and another one
 constexpr std::size_t kProbes = 4;
+constexpr std::chrono::seconds kOthersRemembered{4};
 }  // namespace
 
+// After a cut of this leader its machines are heard again one by one, and each has been out of
+// reach for as long as the cut: neither is their fault (docs/incidents/hunt-fa96.md, where 137
+// healthy machines were returned at the end of one).
 void Contact::heard(Machine& machine, TimePoint now) {
   fleet_.touch(machine);
+  if (last_heard_ && hears_nobody(now)) listening_since_ = now;
+  if (machine.unreached_since && machine.heard &&
+      now - *machine.heard > to_duration(settings_.tuning.silent_after))
+    machine.unreached_since = now;
   machine.heard = now;
   last_heard_ = now;
 }
@@ -75,14 +83,20 @@
       std::max(settings_.tuning.silent_after, settings_.workers.report * 1.25 + kOrderTravels));
 }
 
-bool Contact::others_heard(TimePoint now) const {
-  if (heard_lately_ * 2 < up_ && up_ != 1) return false;
+bool Contact::hears_nobody(TimePoint now) const {
   const auto last = std::max(last_heard_.value_or(takeover_), listening_since_);
-  return now - last < gap(kNobodyNow, kLeastGap, Seconds(deaf_after()));
+  return now - last >= gap(kNobodyNow, kLeastGap, Seconds(deaf_after()));
+}
+
+bool Contact::others_heard(TimePoint now) const {
+  return (heard_lately_ * 2 >= up_ || up_ == 1) && !hears_nobody(now);
 }
 
 bool Contact::gives_up(const Machine& machine, Seconds boot, TimePoint now) const {
   if (!machine.unreached_since || !machine.confirmed) return false;
+  // One that says nothing either is silent, and judged as that.
+  if (!machine.heard || now - *machine.heard > to_duration(settings_.tuning.silent_after))
+    return false;
   const Seconds out = now - *machine.unreached_since;
   if (out < settings_.tuning.lost_after) return false;
   // Where many are out of reach at once, it is rather this leader, or a cut that ends: their leases
@@ -103,8 +117,10 @@
 }
 
 const char* Contact::cut_off(TimePoint now) const {
-  if (!settings_.resigns_when_deaf || up_ < 2 || now - listening_since_ < kLeastDeaf)
-    return nullptr;
+  if (up_ < 2 || now - listening_since_ < kLeastDeaf) return nullptr;
+  // One that gave up lately does so again only if others do hear.
+  const bool others = others_hear_ && now - *others_hear_ < kOthersRemembered;
+  if (!settings_.resigns_when_deaf && !others) return nullptr;
   const auto since = [&](const std::optional<TimePoint>& last) {
     return now - std::max(last.value_or(takeover_), listening_since_);
   };
--- a/src/core/contact.hpp
+++ b/src/core/contact.hpp
@@ -29,6 +29,10 @@
   // Nothing is known of the machine's new session yet but that it exists.
   void new_session(Machine& machine);
 
+  // Workers come to another controller: if this one hears none, it is this one that is cut off.
+  void others_hear(TimePoint now) { others_hear_ = now; }
+  bool hears_nobody(TimePoint now) const;
+
   // Looks at the fleet. `serving`: reports are taken in. Time in which they are not, or in which
   // this process stood still, is nobody's silence.
   void look(TimePoint now, bool serving);
@@ -52,7 +56,7 @@
   template <class S, class F>
   static void fields(S& s, F&& f) {
     f(s.listening_since_, s.last_look_, s.last_heard_, s.last_reached_, s.up_, s.heard_lately_,
-      s.out_of_reach_);
+      s.out_of_reach_, s.others_hear_);
   }
 
  private:
@@ -69,6 +73,7 @@
   std::size_t up_ = 0;                     // at the last look, as the next two
   std::size_t heard_lately_ = 0;
   std::size_t out_of_reach_ = 0;  // heard lately and not reached
+  std::optional<TimePoint> others_hear_;
 };
 
 }  // namespace violetpulley::core
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -48,6 +48,9 @@
   void report(const WorkerReport& report, TimePoint now) { reports_.report(report, now); }
   // Every other controller has said, after it saw our key, that it does not lead.
   void no_older_leader(TimePoint now) { recovery_.no_older_leader(now); }
+  // Workers come to another controller.
+  void others_hear(TimePoint now) { contact_.others_hear(now); }
+  bool hears_nobody(TimePoint now) const { return contact_.hears_nobody(now); }
   // Stops and forgets that travel in the answer to a report.
   std::vector<Command> response_commands(const WorkerReport& report) const {
     return orders_.response_commands(report.machine, {report.session, report.sequence});
--- a/src/core/events.cpp
+++ b/src/core/events.cpp
@@ -21,8 +21,8 @@
                                      "machines listed",
                                      "tick",
                                      "placements saved",
-
-                                     "older leaders gone"};
+                                     "older leaders gone",
+                                     "others hear"};
   static_assert(kNames.size() == std::variant_size_v<Event>);
   return kNames[event.index()];
 }
@@ -57,6 +57,8 @@
       controller.placements_saved(e.job, e.version);
     } else if constexpr (std::is_same_v<T, OlderLeadersGone>) {
       controller.no_older_leader(now);
+    } else if constexpr (std::is_same_v<T, OthersHear>) {
+      controller.others_hear(now);
     } else {
       static_assert(std::is_same_v<T, Ticked>);
       controller.tick(now, e.may_place, e.proved);
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -132,11 +132,19 @@
   }
 };
 
+// Workers come to another controller (docs/safety.md, "Liveness").
+struct OthersHear {
+  template <class S, class F>
+  static void fields(S&, F&& f) {
+    f();
+  }
+};
+
 // New kinds go to the end: a record names its kind by its place here.
 using Event =
     std::variant<TakenOver, CatalogKnown, JobOpened, JobClosed, MachineReported, OrdersAnswered,
                  MachineSaved, ProgressSaved, FinishAnswered, RentalAnswered, ReleaseAnswered,
-                 CloudListed, Ticked, PlacementsSaved, OlderLeadersGone>;
+                 CloudListed, Ticked, PlacementsSaved, OlderLeadersGone, OthersHear>;
 
 // In words, for tables and messages.
 const char* name_of(const Event& event);
--- a/src/history/describe.cpp
+++ b/src/history/describe.cpp
@@ -60,6 +60,8 @@
       out << e.job << " version " << e.version;
     else if constexpr (std::is_same_v<T, core::OlderLeadersGone>)
       out << "every other controller says that it does not lead";
+    else if constexpr (std::is_same_v<T, core::OthersHear>)
+      out << "workers come to another controller";
     else
       out << (e.may_place ? "" : "may not serve");
   };
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -221,6 +221,11 @@
   feed(core::OlderLeadersGone{});
 }
 
+// Told only while it matters: siblings say it every second.
+void Leader::others_hear(core::TimePoint now) {
+  if (controller_ && controller_->hears_nobody(now)) feed(core::OthersHear{}, now);
+}
+
 void Leader::note_orders(const core::SendOrders& orders) {
   if (steps_told_) return;
   const auto now = Clock::now();
--- a/src/leader.hpp
+++ b/src/leader.hpp
@@ -33,6 +33,8 @@
   void handle_report(const net::Request& request, const net::Responder& respond);
   // A sibling says that it does not lead and which leader key it has seen.
   void heard_follower(const std::string& member, core::Token follows);
+  // Workers come to a sibling.
+  void others_hear(core::TimePoint now);
   void job_opened(const core::JobRecord& record);
   void job_closed(const core::JobId& id);
   void set_catalog(const std::vector<core::MachineType>& types);
--- a/src/mesh/mesh.hpp
+++ b/src/mesh/mesh.hpp
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <msgpack.hpp>
@@ -21,6 +22,8 @@
   MSGPACK_DEFINE(id, done, running)
 };
 
+inline constexpr std::uint64_t kNever = std::numeric_limits<std::uint64_t>::max();
+
 struct Status {
   std::uint32_t version = 1;
   std::string member;
@@ -30,7 +33,9 @@
   std::vector<JobCount> counts;
   // Token of the leader key that it has seen last; 0: none, or from a program that does not say it.
   std::uint64_t follows = 0;
-  MSGPACK_DEFINE(version, member, store_silence_ms, token, counts, follows)
+  // How long ago a worker last came to this node, whatever it was answered.
+  std::uint64_t workers_silence_ms = kNever;
+  MSGPACK_DEFINE(version, member, store_silence_ms, token, counts, follows, workers_silence_ms)
 };
 
 inline constexpr std::uint32_t kVersion = 1;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::chrono::seconds kStoreLost{3};
 constexpr std::chrono::seconds kCatalogEvery{30};
+constexpr std::uint64_t kWorkersCame = 3000;  // ms: lately
 constexpr milliseconds kLeaderWatchGap{50};
 constexpr milliseconds kFollowerWatchGap{400};
 const std::string kCatalogKey = "catalog";
@@ -208,6 +209,7 @@
       now - milliseconds(std::min<std::uint64_t>(status.store_silence_ms, 1'000'000));
   view.token = status.token;
   if (leader_ && status.token == 0) leader_->heard_follower(status.member, status.follows);
+  if (leader_ && status.workers_silence_ms < kWorkersCame) leader_->others_hear(now);
   for (const auto& count : status.counts)
     if (mirror_.find(count.id) != nullptr) told_counts_[count.id] = {count.done, count.running};
 }
@@ -217,6 +219,9 @@
   status.member = settings_.member;
   status.store_silence_ms = static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(Clock::now() - store_answered_).count());
+  if (worker_came_)
+    status.workers_silence_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(Clock::now() - *worker_came_).count());
   status.token = leadership_.token();
   status.follows = election_.leader() ? election_.leader()->revision : 0;
   if (leader_ && leader_->ready())
@@ -273,6 +278,7 @@
 }
 
 void Node::report(const net::Request& request, const net::Responder& respond) {
+  worker_came_ = Clock::now();
   if (leader_ && leader_->ready()) return leader_->handle_report(request, respond);
   const auto member = election_.current_member();
   if (!member.empty() && member != settings_.member)
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -64,6 +64,7 @@
   std::unordered_map<core::JobId, core::JobCounts> told_counts_;
   core::TimePoint started_;
   core::TimePoint store_answered_;
+  std::optional<core::TimePoint> worker_came_;  // last
   bool catalog_saved_ = false;
   mesh::Mesh mesh_;
   net::HttpServer server_;
--- a/tests/contact_test.cpp
+++ b/tests/contact_test.cpp
@@ -117,9 +117,29 @@
   begin(40, 0);
   run(Seconds(5));
   for (auto& [id, worker] : workers_) worker.says = worker.gets = false;
-  run(Seconds(20));
+  run(Seconds(50));
   EXPECT_FALSE(resigned_);
   EXPECT_TRUE(returned_.empty()) << causes_;
+  // The end of the cut, after which they come one by one: found by hunt-fa96, where those that had
+  // not come yet were returned as silent, and those that had as out of reach.
+  for (auto& [id, worker] : workers_) worker.says = worker.gets = true;
+  run(Seconds(12));
+  EXPECT_TRUE(returned_.empty()) << causes_;
+}
+
+// Found by hunt-fa96: cut off for the second time within three minutes, a leader stayed for 50 s,
+// and all that ran was killed by its lease, while workers came to its siblings.
+TEST_F(Reach, OneThatGaveUpLatelyDoesSoAgainIfOthersHear) {
+  resigns_when_deaf_ = false;
+  begin(40, 0);
+  run(Seconds(5));
+  for (auto& [id, worker] : workers_) worker.says = worker.gets = false;
+  run(Seconds(4));
+  EXPECT_FALSE(resigned_);
+  controller_->others_hear(now_);
+  run(Seconds(1));
+  ASSERT_TRUE(resigned_);
+  EXPECT_EQ(resigned_->second, "no machine is heard from");
 }
 
 // While nothing may be answered nobody is heard, and after it the machines come one by one.
