Jobs with a mistake are tried one task at a time, rent nothing and say so in the log

Cause: a job whose tasks all fail was tried whole after each pause, 35 tasks of 4 CPUs and their images for a mosaico, its tasks rented machines once those that it had failed on were passed over, and nothing in the log told a user why it did not get on.

Change: once all of a job has failed on three machines and none ended well it is suspected: one task at a time, on any machine, pauses of 2 to 64 s, no rentals, one warning for each longer pause. The first task that ends well clears it. Tests: Mistakes.

--- a/src/core/actions.hpp
+++ b/src/core/actions.hpp
@@ -141,8 +141,20 @@
   }
 };
 
-using Action = std::variant<SendOrders, SaveMachine, DeleteMachine, SaveProgress, FinishJob,
-                            DeleteProgress, Rent, Release, Resign, SavePlacements, MarkPlacements>;
+// For the log, once for each time the pause grows: users and operators look for the cause.
+struct JobSuspected {
+  JobId job;
+  std::size_t machines = 0;  // on which it failed
+  Seconds pause{0};          // until it is tried again
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.job, s.machines, s.pause);
+  }
+};
+
+using Action =
+    std::variant<SendOrders, SaveMachine, DeleteMachine, SaveProgress, FinishJob, DeleteProgress,
+                 Rent, Release, Resign, SavePlacements, MarkPlacements, JobSuspected>;
 
 inline constexpr TaskIndex kProgressChunk = 1000;
 
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -46,13 +46,17 @@
   std::uint64_t placed_version = 0;  // of the newest record asked for
   std::uint64_t placed_saved = 0;    // of the newest record that is committed
   bool begun = false;                // a task of it has been on a machine
+  // All of it has failed, on several machines: most likely it was submitted with a mistake. One
+  // task at a time is tried, until one ends well.
+  bool suspected = false;
+  Seconds pause{0};  // after the last try
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
     f(s.record, s.carried_over, s.tasks, s.waiting, s.chunks_dirty, s.chunks_in_flight,
       s.chunks_stored, s.done, s.running, s.finishing, s.finish_retry, s.opened, s.failed_on,
       s.failures, s.backoff_until, s.attempt, s.placed, s.placed_known, s.placed_version,
-      s.placed_saved, s.begun);
+      s.placed_saved, s.begun, s.suspected, s.pause);
   }
 
   Job() : Job(JobRecord{}) {}
@@ -90,6 +94,7 @@
     task.machine.clear();
     task.bound.clear();
     waiting.erase(index);
+    suspected = false;
     ++done;
   }
 
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -110,6 +110,9 @@
   if (job.gang() || job.waiting.empty() || starts_left_ == 0 || !starts_.within_limit(spec)) return;
   const bool ahead = candidate.due;  // with one task; its others go with everybody else's
   if (ahead && job.begun) return;
+  const bool tried = job.waiting.size() < job.tasks.size();
+  if (job.suspected && tried) return;
+  const bool one = ahead || job.suspected;
   // Waiting for a machine that holds the image pays only where the fetch is long against the work.
   const auto fetch = longest_fetch(spec);
   const double patience = scarcity_.places_scarce() ? kScarcePatience : kHolderPatience;
@@ -136,7 +139,8 @@
                  !(leaves_ordinary && !m.spot && m.tasks.empty() &&
                    catalog_.dear(m.type, m.spot)) &&
                  std::find(barred.begin(), barred.end(), m.type) == barred.end() &&
-                 !job.failed_on.contains(m.id) && zone_allowed(spec, zones, m.zone);
+                 (job.suspected || !job.failed_on.contains(m.id)) &&
+                 zone_allowed(spec, zones, m.zone);
         },
         least_rank);
     for (auto next = job.waiting.begin(); next != job.waiting.end() && !(zoned && started);) {
@@ -148,7 +152,7 @@
         return;
       choices.placed(*machine);
       started = true;
-      if (--starts_left_ == 0 || ahead) return;
+      if (--starts_left_ == 0 || one) return;
     }
     if (!zoned) return;
   }
--- a/src/core/rentals.cpp
+++ b/src/core/rentals.cpp
@@ -26,7 +26,7 @@
     const auto& job = *candidate.job;
     const auto& spec = job.spec();
     const auto limit = starts_.room_of(spec.team);
-    if (!limit || job.gang()) continue;
+    if (!limit || job.gang() || job.suspected) continue;
     auto& free = room.try_emplace(spec.team, *limit).first->second;
     ScalerJob entry{&spec, candidate.estimate, {}, {}};
     for (const auto index : job.waiting) {
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -9,6 +9,8 @@
 namespace {
 constexpr milliseconds kOrdersRetry{1000};
 constexpr milliseconds kAskRetry{100};
+constexpr Seconds kFirstPause{2};
+constexpr Seconds kLongestPause{64};
 }  // namespace
 
 void Reports::report(const WorkerReport& report, TimePoint now) {
@@ -198,6 +200,7 @@
   // A job that fails on machine after machine was submitted with a mistake: it must neither be
   // tried without pause nor bring healthy machines into quarantine.
   if (job.done == 0 && job.failed_on.size() >= 3) {
+    if (job.waiting.size() == job.tasks.size()) return all_failed(job, now);
     const int doublings = std::min(static_cast<int>(job.failed_on.size()) - 2, 6);
     job.backoff_until = now + std::chrono::seconds(1L << doublings);
     return;
@@ -208,6 +211,16 @@
   if (several && (machine.error_jobs.size() >= 2 || job.done > 0)) machine.quarantined = true;
 }
 
+// The pause grows with each try, of one task by then: with all of them each try cost as much as the
+// first.
+void Reports::all_failed(Job& job, TimePoint now) {
+  const auto pause = std::clamp(job.pause * 2, kFirstPause, kLongestPause);
+  if (pause > job.pause) out_.push_back(JobSuspected{job.spec().id, job.failed_on.size(), pause});
+  job.suspected = true;
+  job.pause = pause;
+  job.backoff_until = now + to_duration(pause);
+}
+
 void Reports::orders_answered(const MachineId& id, const WorkerReport* answer, TimePoint now) {
   auto* machine = fleet_.find(id);
   if (machine == nullptr) return;
--- a/src/core/reports.hpp
+++ b/src/core/reports.hpp
@@ -41,6 +41,7 @@
   void absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now);
   void adopt(Machine& machine, const TaskReport& entry, TimePoint now);
   void task_failed(Machine& machine, Job& job, TimePoint now);
+  void all_failed(Job& job, TimePoint now);
 
   const ControllerSettings& settings_;
   Outbox& out_;
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -221,7 +221,6 @@
   feed(core::OlderLeadersGone{});
 }
 
-// Told only while it matters: siblings say it every second.
 void Leader::others_hear(core::TimePoint now) {
   if (controller_ && controller_->hears_nobody(now)) feed(core::OthersHear{}, now);
 }
@@ -435,6 +434,9 @@
         feed(core::ReleaseAnswered{machines, ok});
         pump_soon();
       });
+    } else if constexpr (std::is_same_v<T, core::JobSuspected>) {
+      spdlog::warn("job {} failed on {} machines and nowhere ended well: tried again in {:.0f} s",
+                   a.job, a.machines, a.pause.count());
     } else if constexpr (std::is_same_v<T, core::Resign>) {
       if (a.deaf) deaf_at_ = Clock::now();
       asio::post(io_, [this, alive = alive_, cause = a.cause] {
--- a/tests/contact_test.cpp
+++ b/tests/contact_test.cpp
@@ -224,6 +224,41 @@
   EXPECT_EQ(running(), 12U);
 }
 
+// A job submitted with a mistake fails on every machine until its user cancels it.
+class Mistakes : public LeaderOfWorkers {};
+
+TEST_F(Mistakes, AreTriedOneTaskAtATimeAndCostNoHealthyMachine) {
+  begin(8, 0);
+  run(Seconds(2));
+  failing_.insert("req-1");
+  controller_->job_opened(job("req-1", 8), now_);
+  auto healthy = job("req-2", 4);
+  healthy.spec.estimate = Seconds(10);
+  run(Seconds(20));
+  controller_->job_opened(healthy, now_);
+  run(Seconds(400));
+  EXPECT_LT(failures_, 40) << "each of a dozen retries would have cost all of its eight tasks";
+  EXPECT_GT(failures_, 12) << "it is still tried";
+  EXPECT_GE(suspected_, 3U) << "and the log says so, once for each longer pause";
+  EXPECT_LE(suspected_, 7U);
+  EXPECT_EQ(causes_.find("sick"), std::string::npos) << causes_;
+  EXPECT_EQ(rents_, 0U);
+  EXPECT_TRUE(done_.contains("req-2"));
+}
+
+// Failures on some machines are no reason: the others' tasks are running.
+TEST_F(Mistakes, AreNotTakenFromAFewSickMachines) {
+  begin(8, 0);
+  for (int i = 0; i < 3; ++i) workers_[name(i)].sick = true;
+  run(Seconds(2));
+  auto record = job("req-1", 32);
+  record.spec.estimate = Seconds(20);
+  controller_->job_opened(record, now_);
+  run(Seconds(120));
+  EXPECT_TRUE(done_.contains("req-1"));
+  EXPECT_EQ(suspected_, 0U);
+}
+
 // Boots that are late together: each that is returned and rented anew starts from the beginning.
 class Boots : public Reach {
  protected:
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -430,6 +430,7 @@
       if (auto* owner = process(token)) feed(*owner, ReleaseAnswered{release.machines, ok});
     });
   }
+  void carry_out(LeaderProcess&, Token, JobSuspected&) {}
   void carry_out(LeaderProcess&, Token token, Resign& resign) {
     resigning_ = token;
     if (resign.deaf) deaf_at_ = now_;
