--- a/tests/contact_test.cpp
+++ b/tests/contact_test.cpp
@@ -70,17 +70,42 @@
 TEST_F(Reach, WorkThatEndsWithinItsLeaseIsLeftToEnd) {
   begin(8, 0);
   run(Seconds(2));
-  auto brief = job("req-1", 32);
-  brief.spec.estimate = Seconds(16);
+  controller_->job_opened(job("req-2", 1), now_);
+  run(Seconds(2));
+  auto brief = job("req-1", 31);
+  brief.spec.estimate = Seconds(20);
   controller_->job_opened(brief, now_);
   run(Seconds(3));
-  workers_[name(3)].gets = false;
-  // Something to tell it, so that it is noticed.
-  workers_[name(3)].ended[{"req-0", 0}] = {
-      {"req-0", 0}, 7, TaskState::exited, ExitCause::stopped, false};
-  controller_->job_opened(job("req-2", 1), now_);
+  const auto busy = std::find_if(workers_.begin(), workers_.end(), [](const auto& entry) {
+    return entry.second.tasks.contains({"req-2", 0});
+  });
+  ASSERT_EQ(busy->second.tasks.size(), 4U);
+  busy->second.gets = false;
+  controller_->job_closed("req-2", now_);  // its stop is stuck
+  run(Seconds(12));
+  EXPECT_TRUE(returned_.empty()) << causes_;
   run(Seconds(10));
-  EXPECT_FALSE(returned_.contains(name(3))) << causes_;
+  EXPECT_TRUE(returned_.contains(busy->first)) << "the others have ended";
+}
+
+// A start was held on its way and may come once more: nothing else may start the task meanwhile.
+TEST_F(Reach, ATaskThatVanishesAndMayBeStartedLateStaysOnItsMachine) {
+  begin(3, 0);
+  run(Seconds(2));
+  for (auto& [id, worker] : workers_) worker.answers = false;
+  controller_->job_opened(job("req-1", 1), now_);
+  run(Seconds(4));
+  const auto first = std::find_if(workers_.begin(), workers_.end(),
+                                  [](const auto& entry) { return !entry.second.tasks.empty(); });
+  ASSERT_NE(first, workers_.end());
+  for (auto& [id, worker] : workers_) worker.answers = true;
+  run(Seconds(4));
+  const auto attempt = first->second.tasks.begin()->second.attempt;
+  first->second.tasks.clear();  // it is back without its tasks, in the same session
+  run(Seconds(6));
+  EXPECT_EQ(running(), 1U);
+  ASSERT_EQ(first->second.tasks.size(), 1U) << "under the same attempt it has no effect there";
+  EXPECT_EQ(first->second.tasks.begin()->second.attempt, attempt);
 }
 
 TEST_F(Reach, ALeaderThatReachesNobodyStepsBackAndOneThatMissesAFewDoesNot) {
@@ -100,6 +125,7 @@
 // Found by inc-c2d3: a leader cut off from its workers returned nine healthy machines, those that
 // had reported longest ago, before it noticed after ten seconds that nobody was heard.
 TEST_F(Reach, ALeaderThatHearsNobodyStepsBackBeforeItReturnsAnything) {
+  report_every_ = Seconds(5);
   begin(40, 0);
   run(Seconds(5));
   for (auto& [id, worker] : workers_) worker.says = worker.gets = false;
@@ -113,6 +139,7 @@
 
 // The last one to hear nothing waits, and still must not return its whole fleet one by one.
 TEST_F(Reach, OneThatMayNotStepBackReturnsNobodyWhileItHearsNobody) {
+  report_every_ = Seconds(5);
   resigns_when_deaf_ = false;
   begin(40, 0);
   run(Seconds(5));
@@ -214,6 +241,22 @@
   EXPECT_EQ(controller_->recovering(), false);
 }
 
+// What PROTOCOL does not allow changes nothing for others and starts nothing.
+TEST_F(Reach, AReportOfAnUnknownTypeOrOfAnEarlierSessionIsNoPlaceForWork) {
+  begin(2, 0);
+  run(Seconds(2));
+  WorkerReport odd{"m900", "m900", "none such", "nowhere", true, 1, 1, kToken, {}, {}};
+  odd.tasks.push_back({{"req-404", 7}, 3, TaskState::running, ExitCause::none, false});
+  controller_->report(odd, now_);
+  auto back = report_of(name(0));
+  back.session = 0;  // its counters began anew: it cannot be told from a late copy
+  controller_->report(back, now_);
+  controller_->job_opened(job("req-1", 8), now_);
+  run(Seconds(4));
+  EXPECT_EQ(starts_sent_["m900"], 0);
+  EXPECT_EQ(running(), 8U);
+}
+
 TEST_F(Reach, WhatComesUpIsUsedOnceItAnswers) {
   begin(2, 0);
   workers_["m900"].renewed = now_;
--- a/tests/leader_of_workers.hpp
+++ b/tests/leader_of_workers.hpp
@@ -24,10 +24,11 @@
     std::uint64_t session = 1;
     std::uint64_t sequence = 0;
     Token token = 0;
-    bool says = true;   // its reports arrive
-    bool gets = true;   // what it is told arrives
-    bool gone = false;  // returned
-    bool sick = false;  // every task fails there
+    bool says = true;     // its reports arrive
+    bool gets = true;     // what it is told arrives
+    bool gone = false;    // returned
+    bool sick = false;    // every task fails there
+    bool answers = true;  // off: orders are carried out and the answer is lost
     TimePoint renewed{};
     std::map<TaskKey, Running> tasks;
     std::map<TaskKey, TaskReport> ended;
@@ -45,6 +46,7 @@
     ControllerSettings settings;
     settings.teams = {{"t", 0, 0, 0, 0}, {"narrow", 0, 8, 0, 0}};
     settings.cloud_calls_per_s = 10;
+    settings.workers.report = report_every_;
     settings.wall_at_start = wall_now();
     settings.resigns_when_deaf = resigns_when_deaf_;
     settings.tuning.idle_wait = Seconds(10'000);
@@ -131,9 +133,10 @@
     for (const auto end = now_ + to_duration(length); now_ < end; now_ += milliseconds(100)) {
       std::size_t i = 0;
       for (auto& [id, worker] : workers_) {
-        const auto phase = milliseconds(100) * static_cast<int>(i++ * 7 % 30);
-        if (!worker.gone && (now_ - next_ + phase) % seconds(3) == Duration::zero())
-          send_report(id);
+        const auto every = to_duration(report_every_);
+        const auto phase =
+            milliseconds(100) * static_cast<int>(i++ * 7 % (every / milliseconds(100)));
+        if (!worker.gone && (now_ - next_ + phase) % every == Duration::zero()) send_report(id);
       }
       while (!answers_.empty() && answers_.begin()->first <= now_) {
         const auto id = answers_.begin()->second;
@@ -159,6 +162,10 @@
         worker.token = kToken;
         execute(worker, orders->commands);
       }
+      if (!worker.answers) {
+        answers_.emplace(now_ + milliseconds(700), orders->machine);
+        return;
+      }
       const auto report = report_of(orders->machine);
       controller_->orders_answered(orders->machine, &report, now_);
     } else if (const auto* save = std::get_if<SaveMachine>(&action)) {
@@ -192,6 +199,7 @@
   }
 
   WorkerTimes times_;
+  Seconds report_every_{3};
   TimePoint now_ = TimePoint{} + std::chrono::hours(1);
   TimePoint next_{};
   bool serving_ = true;
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -17,7 +17,8 @@
         small.spec.team = team;
         small.spec.per_task = {cpus, 0, 1};
         small.spec.priority = priority;
-        small.spec.estimate = Seconds(8);
+        // Not all at once, or whole machines would come free by themselves.
+        small.spec.estimate = Seconds(5 + flowed_ % 7);
         controller_->job_opened(small, now_);
       }
       run(Seconds(2));
