One start in eight may go to a job that stands ahead

Change: Standing gives credit for one start ahead in eight; the others that are due have their place in the usual order. A job that could not begin within twice the time leaves its place to the next.

--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -58,6 +58,7 @@
            std::tie(b->record.submitted, b->spec().id);
   });
   std::vector<Candidate> queue;
+  auto leads = standing_.may_lead();
   std::map<std::string, Resources> claimed;
   for (auto* job : by_age) {
     const auto& spec = job->spec();
@@ -70,8 +71,10 @@
     const double size = spec.per_task.gpus > 0 ? waiting.gpus : waiting.cpus;
     const bool aged =
         job->gang() ? outlooks_.age(*job, now) > kGangAges : standing_.stands_whole(*job, now);
+    const bool due = leads > 0 && standing_.due(*job, now);
+    if (due) --leads;
     queue.push_back({job, estimate, guaranteed, outlooks_.outlook(*job, now),
-                     estimate.count() * size, aged, standing_.due(*job, now)});
+                     estimate.count() * size, aged, due});
   }
   // The design's order is longest first. Before it come priority, for the deadlines, and work
   // within a team's guarantee (docs/design.md, "Order of the queue").
@@ -152,6 +155,7 @@
         return;
       choices.placed(*machine);
       started = true;
+      standing_.started(ahead);
       if (--starts_left_ == 0 || one) return;
     }
     if (!zoned) return;
@@ -213,7 +217,7 @@
       if (standing_.leaves_limit(candidate)) continue;
       if (candidate.job->gang() && holders_only) gangs_.place(candidate, open, now);
       if (!packer.empty()) place_job(packer, candidate, holders_only, now);
-      if (candidate.due) standing_.passed(*candidate.job, now);
+      if (candidate.due) standing_.passed(*candidate.job);
     }
   standing_.hold(queue, now);
   preemption_.make_room_for_services(queue, now);
--- a/src/core/standing.cpp
+++ b/src/core/standing.cpp
@@ -11,12 +11,16 @@
 // Of the time in which a job must begin, the part after which it stands ahead: the rest is for a
 // place that has to run free, an image and a boot.
 constexpr double kStandsAfter = 0.4;
+constexpr double kLeadEvery = 8;  // starts, one of them ahead of the others
+constexpr double kMostCredit = 16;
 constexpr double kLargest = 0.9;     // the largest tenth of a class's open jobs
-constexpr double kGivenUpAfter = 2;  // no limit is left to it any longer
+constexpr double kGivenUpAfter = 2;  // it could not be helped, and leaves its place to the next
 }  // namespace
 
 bool Standing::due(const Job& job, TimePoint now) const {
-  return !job.begun && outlooks_.age(job, now) > settings_.tuning.begin_within * kStandsAfter;
+  const auto age = outlooks_.age(job, now);
+  const auto within = settings_.tuning.begin_within;
+  return !job.begun && age > within * kStandsAfter && age < within * kGivenUpAfter;
 }
 
 bool Standing::stands_whole(const Job& job, TimePoint now) const {
@@ -26,6 +30,10 @@
          outlooks_.age(job, now) > settings_.tuning.begin_within * kStandsAfter;
 }
 
+void Standing::started(bool ahead) {
+  credit_ = ahead ? std::max(0.0, credit_ - 1) : std::min(kMostCredit, credit_ + 1 / kLeadEvery);
+}
+
 void Standing::new_round() {
   blocked_teams_.clear();
   largest_.clear();
@@ -42,8 +50,7 @@
 // What the team may use beside what it has running for good. A job that does not fit into that
 // cannot be helped: found by seed 692 of Operations, where a gang of the size of its team's limit
 // held up the team for ever, since replicas of the same team ran.
-bool Standing::fits_in_time(const Job& job, std::size_t tasks, TimePoint now) const {
-  if (outlooks_.age(job, now) > settings_.tuning.begin_within * kGivenUpAfter) return false;
+bool Standing::fits_in_time(const Job& job, std::size_t tasks) const {
   const auto& spec = job.spec();
   auto room = starts_.room_of(spec.team);
   if (!room) return false;
@@ -54,10 +61,10 @@
   return (spec.per_task * static_cast<double>(tasks)).fits_in(*room);
 }
 
-void Standing::passed(const Job& job, TimePoint now) {
+void Standing::passed(const Job& job) {
   const auto tasks = job.gang() ? job.waiting.size() : 1;
   if (job.begun || starts_.within_limit(job.spec(), tasks)) return;
-  if (fits_in_time(job, tasks, now)) blocked_teams_.insert(job.spec().team);
+  if (fits_in_time(job, tasks)) blocked_teams_.insert(job.spec().team);
 }
 
 void Standing::let_go() {
--- a/src/core/standing.hpp
+++ b/src/core/standing.hpp
@@ -27,6 +27,11 @@
 
   // Nothing of it has begun, and the time in which it should is partly used up.
   bool due(const Job& job, TimePoint now) const;
+  // How many jobs may stand ahead in this round. The others that are due have their place in the
+  // usual order: where more jobs come than can ever begin, first tasks alone would take all room,
+  // and none would end (LargestJobs.AGangThatCannotFitHoldsNobodyUp).
+  std::size_t may_lead() const { return static_cast<std::size_t>(credit_); }
+  void started(bool ahead);
 
   // One of its class's largest that still has tasks to start after that time: within its priority
   // it comes before all others, whole, the oldest first.
@@ -35,7 +40,7 @@
   void new_round();
   // A job that is due was looked at and has not begun: where its team's limit is in the way, what
   // the team frees is kept for it.
-  void passed(const Job& job, TimePoint now);
+  void passed(const Job& job);
   bool leaves_limit(const Candidate& candidate) const {
     return !candidate.due && blocked_teams_.contains(candidate.job->spec().team);
   }
@@ -44,12 +49,12 @@
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.held_, s.held_for_);
+    f(s.held_, s.held_for_, s.credit_);
   }
 
  private:
   void let_go();
-  bool fits_in_time(const Job& job, std::size_t tasks, TimePoint now) const;
+  bool fits_in_time(const Job& job, std::size_t tasks) const;
   bool waits(const Job& job, TimePoint now) const;
   Seconds until_room(const Machine& machine, const JobSpec& spec, TimePoint now) const;
 
@@ -59,6 +64,7 @@
   const Starts& starts_;
   const Outlooks& outlooks_;
   const Bindings& bindings_;
+  double credit_ = 4;  // starts ahead of others that are allowed now
   MachineId held_;
   JobId held_for_;
   std::set<std::string> blocked_teams_;       // in this round
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -88,6 +88,27 @@
   expect_begun_in_time();
 }
 
+// Its team's replicas, which do not end, leave it no room: nobody waits for it (seed 692).
+TEST_F(LargestJobs, AGangThatCannotFitHoldsNobodyUp) {
+  begin(2, 0);
+  auto service = job("req-2", 2);
+  service.spec.team = "narrow";
+  service.spec.shape = Shape::service;
+  service.spec.per_task = {1, 0, 1};
+  controller_->job_opened(service, now_);
+  run(Seconds(4));
+  auto record = large(2, Priority::high);
+  record.spec.team = "narrow";
+  record.spec.shape = Shape::gang;
+  record.spec.per_task = {4, 0, 8};
+  controller_->job_opened(record, now_);
+  flow(Seconds(150), Priority::normal, "narrow");
+  const auto before = done_.size();
+  flow(Seconds(60), Priority::normal, "narrow");
+  EXPECT_GT(done_.size(), before + 5);
+  EXPECT_FALSE(began_.contains("req-1"));
+}
+
 TEST_F(LargestJobs, AServiceBeginsToo) {
   auto record = large(2, Priority::idle);
   record.spec.shape = Shape::service;
