One reckoning of silence in Contact, one longest pause; a test's copies shared

Found by reading the change once more: the time since anybody was heard or reached was worked out three times over, with a takeover time that listening_since_ already holds; the longest pause of failing jobs stood in Reports and in Controller; the simulated world asked for commands for a copy and dropped them; the node turned two times into milliseconds in the same words; two tests built the same record.

--- a/src/core/contact.cpp
+++ b/src/core/contact.cpp
@@ -66,9 +66,12 @@
   }
 }
 
+Duration Contact::since(const std::optional<TimePoint>& last, TimePoint now) const {
+  return now - std::max(last.value_or(listening_since_), listening_since_);
+}
+
 Seconds Contact::quiet(const Machine& machine, TimePoint now) const {
-  return now -
-         std::max(machine.heard.value_or(std::max(machine.since, takeover_)), listening_since_);
+  return since(machine.heard.value_or(machine.since), now);
 }
 
 // The time in which so many reports should have come.
@@ -84,8 +87,7 @@
 }
 
 bool Contact::hears_nobody(TimePoint now) const {
-  const auto last = std::max(last_heard_.value_or(takeover_), listening_since_);
-  return now - last >= gap(kNobodyNow, kLeastGap, Seconds(deaf_after()));
+  return since(last_heard_, now) >= gap(kNobodyNow, kLeastGap, Seconds(deaf_after()));
 }
 
 bool Contact::others_heard(TimePoint now) const {
@@ -121,24 +123,19 @@
   // One that gave up lately does so again only if others do hear.
   const bool others = others_hear_ && now - *others_hear_ < kOthersRemembered;
   if (!settings_.resigns_when_deaf && !others) return nullptr;
-  const auto since = [&](const std::optional<TimePoint>& last) {
-    return now - std::max(last.value_or(takeover_), listening_since_);
-  };
   // One that has heard nobody yet has to wait until its followers' workers come to it.
   const auto patience = last_heard_ ? gap(kNobodyAtAll, kLeastDeaf, Seconds(deaf_after()))
                                     : to_duration(settings_.tuning.silent_after * 1.5);
-  if (since(last_heard_) > patience) return "no machine is heard from";
+  if (since(last_heard_, now) > patience) return "no machine is heard from";
   if (last_heard_ && out_of_reach_ >= std::min(kProbes, up_) &&
-      since(last_reached_) > to_duration(settings_.workers.report + kAskedAgain))
+      since(last_reached_, now) > to_duration(settings_.workers.report + kAskedAgain))
     return "its machines are heard, and none of them is reached";
   return nullptr;
 }
 
 std::vector<MachineId> Contact::to_probe(TimePoint now) const {
   std::vector<MachineId> probes;
-  if (up_ < 2 || now - std::max(last_reached_.value_or(takeover_), listening_since_) <
-                     to_duration(settings_.workers.report))
-    return probes;
+  if (up_ < 2 || since(last_reached_, now) < to_duration(settings_.workers.report)) return probes;
   for (const auto& [id, machine] : fleet_.all()) {
     if (!machine.up() || machine.releasing || !machine.confirmed || !machine.heard) continue;
     if (machine.unreached_since || quiet(machine, now) >= settings_.tuning.silent_after) continue;
--- a/src/core/contact.hpp
+++ b/src/core/contact.hpp
@@ -18,7 +18,7 @@
 class Contact {
  public:
   Contact(const ControllerSettings& settings, Fleet& fleet, TimePoint takeover)
-      : settings_(settings), fleet_(fleet), takeover_(takeover), listening_since_(takeover) {}
+      : settings_(settings), fleet_(fleet), listening_since_(takeover) {}
 
   // A report newer than all seen of this machine.
   void heard(Machine& machine, TimePoint now);
@@ -60,13 +60,14 @@
   }
 
  private:
+  // Since `last`, as far as anything could have been noticed; without it since we listen.
+  Duration since(const std::optional<TimePoint>& last, TimePoint now) const;
   Duration gap(double reports, Seconds least, Seconds most) const;
   Duration deaf_after() const;
 
   const ControllerSettings& settings_;
   Fleet& fleet_;
-  TimePoint takeover_;
-  TimePoint listening_since_;
+  TimePoint listening_since_;  // the takeover at the earliest
   TimePoint last_look_{};
   std::optional<TimePoint> last_heard_;    // any machine
   std::optional<TimePoint> last_reached_;  // any machine
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -7,10 +7,6 @@
 
 namespace violetpulley::core {
 
-namespace {
-constexpr Seconds kLongestPause{64};  // as task failures give it
-}  // namespace
-
 Controller::Controller(ControllerSettings settings, Token token, TimePoint now,
                        TimePoint older_leases_end, const Inheritance& inheritance)
     : settings_(std::move(settings)),
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -8,6 +8,8 @@
 
 namespace violetpulley::core {
 
+inline constexpr Seconds kLongestPause{64};  // of a job whose tasks fail
+
 enum class Phase : std::uint8_t { waiting, assigned, done };
 
 struct Task {
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -10,7 +10,6 @@
 constexpr milliseconds kOrdersRetry{1000};
 constexpr milliseconds kAskRetry{100};
 constexpr Seconds kFirstPause{2};
-constexpr Seconds kLongestPause{64};
 }  // namespace
 
 void Reports::report(const WorkerReport& report, TimePoint now) {
--- a/src/core/standing.cpp
+++ b/src/core/standing.cpp
@@ -1,7 +1,6 @@
 #include "core/standing.hpp"
 
 #include <algorithm>
-#include <limits>
 
 #include "core/scaler.hpp"
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -217,11 +217,11 @@
 void Node::tell_siblings() {
   mesh::Status status;
   status.member = settings_.member;
-  status.store_silence_ms = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(Clock::now() - store_answered_).count());
-  if (worker_came_)
-    status.workers_silence_ms = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(Clock::now() - *worker_came_).count());
+  const auto ms_since = [now = Clock::now()](core::TimePoint then) {
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now - then).count());
+  };
+  status.store_silence_ms = ms_since(store_answered_);
+  if (worker_came_) status.workers_silence_ms = ms_since(*worker_came_);
   status.token = leadership_.token();
   status.follows = election_.leader() ? election_.leader()->revision : 0;
   if (leader_ && leader_->ready())
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -30,6 +30,14 @@
     record.spec.estimate = Seconds(60);
     return record;
   }
+  // One that needs the whole limit of its team.
+  JobRecord as_wide_as_its_limit(TaskIndex tasks, Shape shape, double cpus) {
+    auto record = large(tasks, Priority::idle);
+    record.spec.team = "narrow";
+    record.spec.shape = shape;
+    record.spec.per_task = {cpus, 0, 8};
+    return record;
+  }
   void expect_begun_in_time() {
     ASSERT_TRUE(began_.contains("req-1"));
     EXPECT_LT(began_["req-1"] - opened_, seconds(240));
@@ -70,20 +78,13 @@
 }
 
 TEST_F(LargestJobs, ATeamsLimitIsLeftToIt) {
-  auto record = large(3, Priority::idle);
-  record.spec.team = "narrow";
-  record.spec.per_task = {8, 0, 8};
-  open(record);
+  open(as_wide_as_its_limit(3, Shape::array, 8));
   flow(Seconds(250), Priority::high, "narrow");
   expect_begun_in_time();
 }
 
 TEST_F(LargestJobs, AGangBeginsToo) {
-  auto record = large(2, Priority::idle);
-  record.spec.team = "narrow";
-  record.spec.shape = Shape::gang;
-  record.spec.per_task = {4, 0, 8};
-  open(record);
+  open(as_wide_as_its_limit(2, Shape::gang, 4));
   flow(Seconds(250), Priority::high, "narrow");
   expect_begun_in_time();
 }
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -685,10 +685,8 @@
     later(Seconds(more_between(1, 3 * kTimes.lease.count())), [this, report] {
       ++late_copies_;
       for (auto* leader : {&leader_, &stale_})
-        if (*leader && (*leader)->leadership.may_serve(now_)) {
+        if (*leader && (*leader)->leadership.may_serve(now_))
           feed(**leader, MachineReported{report});
-          if (report.token <= (*leader)->token) (*leader)->controller->response_commands(report);
-        }
     });
   }
 
