Cancelled work that is not proven gone after a lease: its machine is returned

Cause, by reading: (1) with more than half of the fleet silent nothing is returned for silence, but a hung machine does not run its lease out by itself, so a cancelled task could stay past cancel_s; (2) a start without an answer stays assigned; once its job was cancelled the start is not repeated, so it was never seen, never settled, and held its room for as long as the leader led. Now a machine on which a cancelled task was told to stop a lease ago and is not proven gone is returned, and a silent one with cancelled tasks when its lease has run out. Both tests of Reach fail without it.

--- a/src/core/machine_watch.cpp
+++ b/src/core/machine_watch.cpp
@@ -54,6 +54,23 @@
   out_.want_placing();
 }
 
+bool MachineWatch::any_abandoned(const Machine& machine) {
+  return std::any_of(machine.tasks.begin(), machine.tasks.end(),
+                     [](const auto& entry) { return entry.second.abandoned; });
+}
+
+// A cancelled task that was told to stop a lease ago and is not proven gone: its machine hangs, or
+// a start that was held on its way may bring it yet. It must be gone within `cancel_s`, however
+// many others are silent, and a start that was lost would else hold its room for ever
+// (docs/meetings.md).
+bool MachineWatch::unsettled(const Machine& machine, TimePoint now) const {
+  const auto lease = to_duration(settings_.workers.lease);
+  return std::any_of(machine.tasks.begin(), machine.tasks.end(), [&](const auto& entry) {
+    const auto& assignment = entry.second;
+    return assignment.abandoned && assignment.stop_since && now - *assignment.stop_since > lease;
+  });
+}
+
 void MachineWatch::give_up(Machine& machine, TimePoint now) {
   if (!machine.releasing && recovery_.waits_for(machine.id)) reckoning_.count(&Squared::returned);
   want_release(machine, "silent", now);
@@ -97,9 +114,13 @@
         // would start them again (seed 1684 of the simulation). So nobody else may have led by the
         // time at which the lease ends.
         if (machine.confirmed && proved - last > to_duration(recovery_.whole_lease()) &&
-            !machine.tasks.empty())
+            !machine.tasks.empty()) {
+          // One that hangs has not run its lease out by itself.
+          if (any_abandoned(machine)) want_release(machine, "silent with cancelled work", now);
           assignments_.lose_all(machine, now);
+        }
       }
+      if (unsettled(machine, now)) want_release(machine, "with cancelled work", now);
       if (machine.quarantined && machine.tasks.empty()) want_release(machine, "sick", now);
       if (machine.images_changed && machine.registered && !machine.registering &&
           images_saved < kImagesPerPass) {
--- a/tests/contact_test.cpp
+++ b/tests/contact_test.cpp
@@ -66,6 +66,37 @@
   EXPECT_TRUE(returned_.contains(name(3)));
 }
 
+// A hung machine does not run its lease out by itself. With most of the fleet silent nothing is
+// returned for its silence, but what was cancelled there must go.
+TEST_F(Reach, CancelledWorkOnHungMachinesIsGoneInTimeHoweverManyHang) {
+  begin(8, 0);
+  run(Seconds(2));
+  controller_->job_opened(job("req-1", 32), now_);
+  run(Seconds(3));
+  ASSERT_EQ(running(), 32U);
+  for (int i = 0; i < 5; ++i) workers_[name(i)].says = workers_[name(i)].gets = false;
+  run(Seconds(1));
+  controller_->job_closed("req-1", now_);
+  run(times_.cancel - Seconds(5));
+  for (int i = 0; i < 5; ++i) EXPECT_TRUE(returned_.contains(name(i))) << causes_;
+}
+
+// The start was lost, or is held somewhere; the stop that overtook it proves nothing.
+TEST_F(Reach, AStartThatMayComeAfterTheCancellationIsSettledInTime) {
+  begin(8, 0);
+  run(Seconds(2));
+  workers_[name(3)].gets = false;
+  controller_->job_opened(job("req-1", 32), now_);
+  run(Seconds(1));
+  ASSERT_EQ(running(), 28U);
+  controller_->job_closed("req-1", now_);
+  run(Seconds(2));
+  workers_[name(3)].gets = true;
+  run(times_.cancel - Seconds(8));
+  EXPECT_TRUE(returned_.contains(name(3))) << causes_;
+  EXPECT_EQ(returned_.size(), 1U) << causes_;
+}
+
 // What runs there may end before its lease does: it is worth more than the machine's return.
 TEST_F(Reach, WorkThatEndsWithinItsLeaseIsLeftToEnd) {
   begin(8, 0);
