--- a/src/core/machine_watch.cpp
+++ b/src/core/machine_watch.cpp
@@ -54,20 +54,18 @@
   out_.want_placing();
 }
 
-bool MachineWatch::any_abandoned(const Machine& machine) {
-  return std::any_of(machine.tasks.begin(), machine.tasks.end(),
-                     [](const auto& entry) { return entry.second.abandoned; });
-}
-
-// A cancelled task that was told to stop a lease ago and is not proven gone: its machine hangs, or
-// a start that was held on its way may bring it yet. It must be gone within `cancel_s`, however
-// many others are silent, and a start that was lost would else hold its room for ever
-// (docs/meetings.md).
+// A cancelled task that was told to stop long ago and is not proven gone: its machine hangs, or a
+// start that was held on its way may bring it yet. It must be gone within `cancel_s`, however many
+// others are silent, and a start that was lost would else hold its room for ever
+// (docs/meetings.md). The cancellation may have been confirmed a serving time before this leader
+// heard of it, so a machine that answers and does not show the task is given half a lease (seed
+// 1758 of Meetings); one that does not answer runs its lease out unless it hangs.
 bool MachineWatch::unsettled(const Machine& machine, TimePoint now) const {
-  const auto lease = to_duration(settings_.workers.lease);
+  const auto lease = settings_.workers.lease;
+  const auto patience = to_duration(reached(machine) ? lease / 2 : lease);
   return std::any_of(machine.tasks.begin(), machine.tasks.end(), [&](const auto& entry) {
     const auto& assignment = entry.second;
-    return assignment.abandoned && assignment.stop_since && now - *assignment.stop_since > lease;
+    return assignment.abandoned && assignment.stop_since && now - *assignment.stop_since > patience;
   });
 }
 
@@ -116,7 +114,8 @@
         if (machine.confirmed && proved - last > to_duration(recovery_.whole_lease()) &&
             !machine.tasks.empty()) {
           // One that hangs has not run its lease out by itself.
-          if (any_abandoned(machine)) want_release(machine, "silent with cancelled work", now);
+          if (Orders::cancelled_on(machine))
+            want_release(machine, "silent with cancelled work", now);
           assignments_.lose_all(machine, now);
         }
       }
--- a/src/core/machine_watch.hpp
+++ b/src/core/machine_watch.hpp
@@ -49,7 +49,6 @@
   Seconds boot_patience(const Machine& machine, double times) const;
   bool late_to_boot(const Machine& machine, TimePoint now) const;
   void note_boots(TimePoint now);
-  static bool any_abandoned(const Machine& machine);
   bool unsettled(const Machine& machine, TimePoint now) const;
   void give_up(Machine& machine, TimePoint now);
   void release_machines(TimePoint now);
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -90,6 +90,11 @@
   });
 }
 
+bool Orders::cancelled_on(const Machine& machine) {
+  return std::any_of(machine.tasks.begin(), machine.tasks.end(),
+                     [](const auto& entry) { return entry.second.abandoned; });
+}
+
 Orders::Urgency Orders::urgency(const Machine& machine) const {
   Attempt oldest = std::numeric_limits<Attempt>::max();
   for (const auto& [key, assignment] : machine.tasks) {
@@ -115,7 +120,9 @@
   std::vector<std::pair<Urgency, Machine*>> ready;
   for (auto due = orders_due_.begin(); due != orders_due_.end();) {
     auto* machine = fleet_.find(*due);
-    if (machine == nullptr || !machine->up() || machine->releasing) {
+    // Until the cloud has answered, a task that has to go is told so: the cloud may be out of
+    // reach, and a start that was held may come meanwhile (seed 1758 of Meetings).
+    if (machine == nullptr || !machine->up() || (machine->releasing && !cancelled_on(*machine))) {
       due = orders_due_.erase(due);
       continue;
     }
--- a/src/core/orders.hpp
+++ b/src/core/orders.hpp
@@ -44,6 +44,8 @@
     return shares;
   }
   const OrderWindow& window() const { return window_; }
+  // A task of a job that was cancelled or has ended may be on it.
+  static bool cancelled_on(const Machine& machine);
   // Whether the start may have been sent.
   bool committed(const TaskKey& key, const Assignment& assignment) const;
 
--- a/tests/contact_test.cpp
+++ b/tests/contact_test.cpp
@@ -92,11 +92,30 @@
   controller_->job_closed("req-1", now_);
   run(Seconds(2));
   workers_[name(3)].gets = true;
-  run(times_.cancel - Seconds(8));
+  // The cancellation may be older than the news of it by the serving time, which is cancel - lease.
+  run(times_.lease * 0.6);
   EXPECT_TRUE(returned_.contains(name(3))) << causes_;
   EXPECT_EQ(returned_.size(), 1U) << causes_;
 }
 
+// The cloud does not answer: the machine is told to stop what is cancelled until it does.
+TEST_F(Reach, AMachineThatIsBeingReturnedIsStillToldToStopCancelledWork) {
+  begin(8, 0);
+  run(Seconds(2));
+  workers_[name(3)].gets = false;
+  controller_->job_opened(job("req-1", 32), now_);
+  run(Seconds(1));
+  controller_->job_closed("req-1", now_);
+  run(Seconds(2));
+  workers_[name(3)].gets = true;
+  cloud_answers_ = false;
+  run(times_.lease);
+  ASSERT_NE(causes_.find("with cancelled work"), std::string::npos) << causes_;
+  const auto told = stops_sent_[name(3)];
+  run(Seconds(10));
+  EXPECT_GT(stops_sent_[name(3)], told + 5);
+}
+
 // What runs there may end before its lease does: it is worth more than the machine's return.
 TEST_F(Reach, WorkThatEndsWithinItsLeaseIsLeftToEnd) {
   begin(8, 0);
--- a/tests/leader_of_workers.hpp
+++ b/tests/leader_of_workers.hpp
@@ -150,7 +150,7 @@
   void carry_out(const Action& action) {
     if (const auto* orders = std::get_if<SendOrders>(&action)) {
       for (const auto& command : orders->commands)
-        if (command.verb == Verb::start) ++starts_sent_[orders->machine];
+        ++(command.verb == Verb::start ? starts_sent_ : stops_sent_)[orders->machine];
       const auto found = workers_.find(orders->machine);
       if (found == workers_.end() || found->second.gone || !found->second.gets ||
           !found->second.says) {
@@ -178,6 +178,7 @@
       controller_->job_closed(finish->job, now_);
     } else if (const auto* release = std::get_if<Release>(&action)) {
       causes_ += release->cause + "; ";
+      if (!cloud_answers_) return controller_->release_answered(release->machines, false, now_);
       for (const auto& id : release->machines) {
         returned_.insert(id);
         workers_[id].gone = true;
@@ -208,6 +209,8 @@
   std::map<MachineId, Worker> workers_;
   std::multimap<TimePoint, MachineId> answers_;  // that do not come
   std::map<MachineId, int> starts_sent_;
+  std::map<MachineId, int> stops_sent_;  // and forgets
+  bool cloud_answers_ = true;
   std::map<JobId, TimePoint> began_;
   std::set<JobId> done_;
   std::set<JobId> failing_;  // submitted with a mistake
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -197,6 +197,7 @@
 
   void step() {
     now_ += kStep;
+    ++step_;
     while (!events_.empty() && events_.begin()->first <= now_) {
       auto what = std::move(events_.begin()->second);
       events_.erase(events_.begin());
@@ -899,7 +900,8 @@
 
   // What operators met later (PROTOCOL's additions).
   void more_trouble() {
-    if (meetings_ && leader_ && !stale_ && !news_lack_ && !outage_ && more_chance(0.004))
+    if (meetings_ && leader_ && !stale_ && !news_lack_ && !outage_ &&
+        (more_chance(0.004) || (gaps_ == 0 && step_ > 1500)))
       begin_gap();
     if (meetings_ && more_chance(0.001))
       slow_until_ = now_ + to_duration(Seconds(more_between(5, 40)));
@@ -986,6 +988,7 @@
   bool news_lack_ = false;  // what jobs opened and ended has not reached the leader
   std::vector<std::function<void()>> unheard_;
   std::size_t gaps_ = 0;
+  std::size_t step_ = 0;
   std::size_t late_writes_ = 0;
   Seconds longest_cancelled_{0};
   TimePoint slow_until_{};
