--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -102,6 +102,25 @@
   until([&] { return again.lost == 1; });
 }
 
+// The transaction that would have made it leader gets no answer and is carried out after the next.
+TEST_F(Lives, ALeaderKeyThatIsWrittenLateFindsItsHoldGone) {
+  const auto door = state_.add_door();
+  Process process(io_, state_.address(door), "n-0");
+  state_.execute_late(door, milliseconds(2500));
+  process.election.start();
+  until([&] { return process.store.silent(core::Clock::now()); });
+  state_.execute_late(door, milliseconds(0));
+  until([&] { return process.won == 1; });
+  const auto token = process.leadership.token();
+  until([&] { return state_.executed_late() > 0; });
+  std::optional<bool> ours;
+  process.election.prove([&](bool proved) { ours = proved; });
+  until([&] { return ours.has_value(); });
+  EXPECT_TRUE(*ours);
+  EXPECT_EQ(process.leadership.token(), token);
+  EXPECT_EQ(process.lost, 0);
+}
+
 // A state service that takes connections and says nothing, as one behind a cut.
 TEST_F(Lives, AUsersRequestIsNotHeldWhileTheStateServiceIsSilent) {
   std::size_t came = 0;
--- a/tests/informed_test.cpp
+++ b/tests/informed_test.cpp
@@ -263,6 +263,39 @@
   EXPECT_EQ(again.find("req-1"), nullptr) << "a job that has ended is open again";
 }
 
+// A submission and a cancellation get no answer, are made again, and the first ones are carried out
+// after everything else.
+TEST_F(Informed, WhatIsCarriedOutLateChangesNothingThatCameAfter) {
+  auto& leader = lead();
+  const auto door = world_.state.add_door();
+  StoreClient late(io_, net::parse_endpoint(world_.state.address(door)), {1000, 1000}, 9);
+  world_.state.execute_late(door, milliseconds(1800));
+  std::optional<bool> taken;
+  submit(late, "req-1", [&](bool ok) { taken = ok; });
+  job("req-1");
+  const auto* record = leader.mirror.find("req-1");
+  ASSERT_NE(record, nullptr);
+  std::optional<Outcome> ended;  // as the leader ends a job; its user cancels it meanwhile
+  late.commit({{{kJobPrefix + std::string("req-1"), record->revision},
+                {kEndPrefix + std::string("req-1"), 0},
+                {"leader", leader.leadership.token()}},
+               {{kJobPrefix + std::string("req-1"), std::nullopt, std::nullopt},
+                {kEndPrefix + std::string("req-1"), Json{{"state", "done"}}, std::nullopt}}},
+              Urgency::safety, [&](const TransactionResult& result) { ended = result.outcome; });
+  cancel(world_.other(leader), "req-1");
+  until([&] { return world_.state.executed_late() == 2; });
+  ASSERT_TRUE(taken && ended);
+  EXPECT_FALSE(*taken);
+  EXPECT_EQ(*ended, Outcome::unknown);
+  std::optional<GetResult> job_key;
+  std::optional<GetResult> end_key;
+  client_.get("job/req-1", Urgency::safety, [&](const GetResult& result) { job_key = result; });
+  client_.get("end/req-1", Urgency::safety, [&](const GetResult& result) { end_key = result; });
+  until([&] { return job_key && end_key; });
+  EXPECT_EQ(job_key->outcome, Outcome::not_found);
+  EXPECT_EQ(end_key->item.value.value("state", ""), "withdrawn");
+}
+
 // Many worlds side by side: refusals of the leader alone, outages soon after, several in a row,
 // slow answers, cancellations at each moment; machines whose leases the leader renews. For each
 // cancelled task: from the confirmation to its being gone.
--- a/tests/standins.hpp
+++ b/tests/standins.hpp
@@ -66,6 +66,7 @@
   void go_backward(std::uint64_t by) { backward_ = by; }
   // Transactions are executed so much later, and never answered; 0: as usual.
   void execute_late(std::size_t door, std::chrono::milliseconds by) { doors_.at(door).held = by; }
+  std::size_t executed_late() const { return executed_late_; }
 
  private:
   using Answer = std::function<void(const net::Response&)>;
@@ -86,6 +87,7 @@
     if (at.held.count() > 0 && request.target == "/txn") {
       after(at.held, [this, body = Json::parse(request.body)] {
         transact(body, [](const net::Response&) {});
+        ++executed_late_;
       });
       return;
     }
@@ -251,6 +253,7 @@
   std::uint64_t revision_ = 0;
   std::uint64_t last_hold_ = 0;
   std::uint64_t backward_ = 0;
+  std::size_t executed_late_ = 0;
   bool outage_ = false;
   bool keeps_lists_ = false;
   std::vector<std::function<void()>> kept_lists_;
