A submission that lacks a field, or holds null in it, is refused with 400 naming it

Cause: gpus, mark_s, stow_s, same_place, spread and loaners were taken with defaults when they were missing or null; PROTOCOL lets only benches, district and due_s be null and so omitted. A table-driven test goes over all twenty fields: missing, null, of another type; borders of 422 exactly at and just above. Records that an older program stored without a field are still read, and a known id keeps its 200 whatever the repeated body holds. The Loopback tests' own job lacked five fields and was accepted; it holds them now.

--- a/src/api/job_codec.cpp
+++ b/src/api/job_codec.cpp
@@ -49,10 +49,9 @@
   return out;
 }
 
-bool flag(const Json& body, const char* name) {
-  if (absent(body, name)) return false;
-  if (!body.at(name).is_boolean()) throw BadRequest(std::string(name) + " must be true or false");
-  return body.at(name).get<bool>();
+bool flag(const Json& value, const char* name) {
+  if (!value.is_boolean()) throw BadRequest(std::string(name) + " must be true or false");
+  return value.get<bool>();
 }
 
 template <typename Value, std::size_t N>
@@ -92,7 +91,7 @@
   if (count < 1 || count > 100'000) throw BadRequest("cuts must lie between 1 and 100000");
   spec.tasks = static_cast<core::TaskIndex>(count);
   spec.per_task.cpus = amount(field(body, "cores"), "cores", 0);
-  if (!absent(body, "gpus")) spec.per_task.gpus = amount(body.at("gpus"), "gpus", 0);
+  spec.per_task.gpus = amount(field(body, "gpus"), "gpus", 0);
   spec.per_task.memory_gb = amount(field(body, "memory_gb"), "memory_gb", 0);
   if (spec.per_task.cpus <= 0 && spec.per_task.gpus <= 0)
     throw BadRequest("cores must be greater than 0");
@@ -105,13 +104,12 @@
       throw BadRequest("benches must name 1 to 100 types");
   }
   if (!absent(body, "district")) spec.zone = text(body.at("district"), "district");
-  spec.same_zone = flag(body, "same_place");
-  spec.spread = flag(body, "spread");
-  spec.spot_allowed = flag(body, "loaners");
+  spec.same_zone = flag(field(body, "same_place"), "same_place");
+  spec.spread = flag(field(body, "spread"), "spread");
+  spec.spot_allowed = flag(field(body, "loaners"), "loaners");
   spec.estimate = Seconds(amount(field(body, "expect_s"), "expect_s", 0));
-  if (!absent(body, "mark_s"))
-    spec.checkpoint_every = Seconds(amount(body.at("mark_s"), "mark_s", 0));
-  if (!absent(body, "stow_s")) spec.save_time = Seconds(amount(body.at("stow_s"), "stow_s", 0));
+  spec.checkpoint_every = Seconds(amount(field(body, "mark_s"), "mark_s", 0));
+  spec.save_time = Seconds(amount(field(body, "stow_s"), "stow_s", 0));
   if (!absent(body, "due_s")) spec.deadline = Seconds(amount(body.at("due_s"), "due_s", 0));
   return spec;
 }
@@ -146,8 +144,12 @@
 }
 
 core::JobRecord record_from_json(const Json& value, core::Revision revision) {
+  // A job that was accepted without one of these, by an older program, stays known.
+  Json job{{"gpus", 0.0},      {"same_place", false}, {"spread", false},
+           {"loaners", false}, {"mark_s", 0.0},       {"stow_s", 0.0}};
+  job.update(value.at("job"));
   core::JobRecord record;
-  record.spec = parse_job(value.at("job"));
+  record.spec = parse_job(job);
   record.submitted =
       core::WallTime(std::chrono::milliseconds(value.at("submitted_ms").get<std::int64_t>()));
   record.revision = revision;
--- a/src/api/job_codec.hpp
+++ b/src/api/job_codec.hpp
@@ -17,6 +17,8 @@
 };
 
 bool valid_job_id(std::string_view id);
+// A submission. Only `benches`, `district` and `due_s` may be null and so omitted; any other field
+// that is missing or invalid is named by the BadRequest.
 core::JobSpec parse_job(const Json& body);
 Json job_to_json(const core::JobSpec& spec);
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "agent/agent_codec.hpp"
 #include "api/job_codec.hpp"
 #include "cloud/cloud_client.hpp"
@@ -35,21 +37,60 @@
       {"cores", -1},        {"cores", 1e300},      {"cores", "8"},
       {"memory_gb", false}, {"casket", 7},         {"image_gb", -0.1},
       {"benches", "g8"},    {"benches", {1}},      {"district", 3},
-      {"loaners", "yes"},   {"expect_s", nullptr}, {"due_s", -1}};
+      {"loaners", "yes"},   {"expect_s", nullptr}, {"due_s", -1},
+      {"gpus", -1},         {"mark_s", -0.1},      {"stow_s", 1e300}};
   for (const auto& [field, value] : bad) {
     auto job = good_job();
     job[field] = value;
     EXPECT_THROW(api::parse_job(job), api::BadRequest) << field << " = " << value;
   }
-  for (const char* field : {"id", "lot", "owner", "shape", "urgency", "cuts", "cores", "memory_gb",
-                            "casket", "image_gb", "expect_s"}) {
-    auto job = good_job();
-    job.erase(field);
-    EXPECT_THROW(api::parse_job(job), api::BadRequest) << field << " missing";
-  }
   EXPECT_THROW(api::parse_job(Json::array()), api::BadRequest);
 }
 
+// Found by reading: jobs without `gpus`, `mark_s`, `stow_s`, `same_place`, `spread` or `loaners`
+// were accepted with defaults. Each field of PROTOCOL's table, missing, null and of another type.
+TEST(JobCodec, NamesTheFieldThatIsMissingNullOrOfAnotherType) {
+  const std::set<std::string> nullable{"benches", "district", "due_s"};
+  const auto complaint = [](const Json& job) -> std::string {
+    try {
+      api::parse_job(job);
+    } catch (const api::BadRequest& problem) {
+      return problem.what();
+    }
+    return {};
+  };
+  const auto fields = good_job();
+  ASSERT_EQ(fields.size(), 20U) << "all fields of the table";
+  for (const auto& [field, value] : fields.items()) {
+    auto missing = fields;
+    missing.erase(field);
+    auto null = fields;
+    null[field] = nullptr;
+    for (const auto& job : {missing, null}) {
+      if (nullable.contains(field))
+        EXPECT_EQ(complaint(job), "") << field;
+      else
+        EXPECT_TRUE(complaint(job).starts_with(field)) << field << ": " << complaint(job);
+    }
+    auto other = fields;
+    other[field] = Json::object();
+    EXPECT_TRUE(complaint(other).starts_with(field)) << field << ": " << complaint(other);
+  }
+}
+
+TEST(JobCodec, ReadsRecordsOfJobsThatWereAcceptedWithoutAField) {
+  auto job = good_job();
+  for (const auto* field : {"gpus", "mark_s", "stow_s", "same_place", "spread", "loaners"})
+    job.erase(field);
+  const auto record = api::record_from_json({{"job", job}, {"submitted_ms", 1000}}, 7);
+  EXPECT_EQ(record.spec.tasks, 16U);
+  EXPECT_FALSE(record.spec.spot_allowed);
+  EXPECT_EQ(record.spec.checkpoint_every, core::Seconds(0));
+  job["mark_s"] = 30.0;
+  EXPECT_EQ(api::record_from_json({{"job", job}, {"submitted_ms", 1000}}, 7).spec.checkpoint_every,
+            core::Seconds(30));
+}
+
 TEST(JobCodec, TellsWhatCanNeverRun) {
   core::MachineType type{"g8", {96, 8, 768}, 200, 1, 12, 4.5, core::Seconds(45), {"a"}};
   const std::vector<core::Team> teams{{"vision", 0, 64, 0, 0}};
@@ -61,8 +102,13 @@
   };
   EXPECT_FALSE(check(nullptr, {}));
   EXPECT_TRUE(check("owner", "nobody"));
-  EXPECT_TRUE(check("cores", 65.0));  // over the team's limit
-  EXPECT_TRUE(check("memory_gb", 769.0));
+  EXPECT_FALSE(check("cores", 64.0));  // the team's limit
+  EXPECT_TRUE(check("cores", 64.01));
+  EXPECT_FALSE(check("memory_gb", 768.0));  // the type's
+  EXPECT_TRUE(check("memory_gb", 768.01));
+  EXPECT_FALSE(check("gpus", 8.0));
+  EXPECT_TRUE(check("gpus", 8.01));
+  EXPECT_FALSE(check("benches", Json{"x1", "g8"}));
   EXPECT_TRUE(check("benches", Json{"x1"}));
   EXPECT_TRUE(check("district", "b"));  // the type is not there
   EXPECT_TRUE(check("district", "c"));
@@ -72,6 +118,9 @@
     job["same_place"] = false;
     job["shape"] = shape;
     job["cores"] = 8.0;
+    job["gpus"] = 0.0;
+    job["cuts"] = 8;
+    EXPECT_FALSE(api::never_runs(api::parse_job(job), teams, {type}, {"a"})) << shape;
     job["cuts"] = 9;
     EXPECT_EQ(api::never_runs(api::parse_job(job), teams, {type}, {"a"}).has_value(),
               std::string(shape) != "array")
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -157,10 +157,23 @@
 
   static std::string job(const std::string& id, int tasks, double cpus = 2,
                          const char* shape = "array") {
-    return Json{{"id", id},       {"lot", "c"},          {"owner", "team"},
-                {"shape", shape}, {"urgency", "normal"}, {"cuts", tasks},
-                {"cores", cpus},  {"gpus", 0.0},         {"memory_gb", 1},
-                {"casket", "i"},  {"image_gb", 0.1},     {"expect_s", 0.1}}
+    return Json{{"id", id},
+                {"lot", "c"},
+                {"owner", "team"},
+                {"shape", shape},
+                {"urgency", "normal"},
+                {"cuts", tasks},
+                {"cores", cpus},
+                {"gpus", 0.0},
+                {"memory_gb", 1},
+                {"casket", "i"},
+                {"image_gb", 0.1},
+                {"expect_s", 0.1},
+                {"same_place", false},
+                {"spread", false},
+                {"loaners", false},
+                {"mark_s", 0.0},
+                {"stow_s", 0.0}}
         .dump();
   }
 
@@ -194,6 +207,12 @@
   EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", "{").status, 400);
   EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", "[]").status, 400);
   EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", R"({"id":"req-2"})").status, 400);
+  auto lacking = Json::parse(job("req-2", 1));
+  lacking.erase("stow_s");
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", lacking.dump()).status, 400);
+  lacking["id"] = "req-1";
+  EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", lacking.dump()).status, 200)
+      << "known, whatever it holds";
   EXPECT_EQ(ask("n-0", "POST", "/v1/jobs", job("req-2", 1, 99)).status, 422);
   EXPECT_EQ(ask("n-0", "GET", "/v1/jobs/req-2").status, 404);
   EXPECT_EQ(ask("n-0", "GET", "/nowhere").status, 404);
