Renewed is a third fact: machines that answer orders and report to nobody get no work

Cause, found by reading: the answer to an order counted as a report, so a machine that reaches no controller looked healthy for ever, while its lease ended every lease_s and new tasks were started there after each. Contact now owns when a machine last reported by itself. Tests: Mute.* fail without it. Takeover.AMachineThatWasAnswered... let its second machine say nothing by itself for 50 s, which is now a mute one: it reports each second there, nothing else changed.

--- a/src/advice/why.cpp
+++ b/src/advice/why.cpp
@@ -22,6 +22,8 @@
   if (!machine.up()) return "booting";
   if (machine.notice_ends) return "taken_back";
   if (!machine.confirmed) return "unconfirmed";
+  if (machine.mute_since) return "not_reporting";
+  if (!core::reached(machine)) return "out_of_reach";
   if (machine.clearing) return "clearing";
   if (!machine.reserved_for.empty() && machine.reserved_for != job) return "reserved_for_a_gang";
   return nullptr;
--- a/src/core/contact.hpp
+++ b/src/core/contact.hpp
@@ -1,9 +1,11 @@
-// Whom this leader hears and whom it reaches. These are two facts: a report proves what a machine
-// was when it was sent, an answer to an order (or a report that shows the effect of one) that what
-// we say arrives there (PROTOCOL, "Delayed messages", "Outages and cuts"; docs/safety.md, "Reports
-// that prove less than they seem to"). Owns both facts of every machine, and since when this leader
-// could have heard anything; decides which machines are reached, which are out of reach for so long
-// that they are given up, and when the leader itself is the one that is cut off.
+// Whom this leader hears, whom it reaches and whose lease it renews. These are three facts: a
+// report proves what a machine was when it was sent, an answer to an order (or a report that shows
+// the effect of one) that what we say arrives there, and only the answer to a report of the
+// machine's own renews its lease (PROTOCOL, "Leases", "Delayed messages", "Outages and cuts";
+// docs/safety.md, "Reports that prove less than they seem to", "Renewed is a third fact"). Owns the
+// facts of every machine, and since when this leader could have heard anything; decides which
+// machines are reached, which are out of reach or mute for so long that they are given up, and when
+// the leader itself is the one that is cut off.
 #pragma once
 
 #include "core/fleet.hpp"
@@ -15,13 +17,16 @@
 // it are gone, not that we reach the machine: that waits for proof.
 inline bool reached(const Machine& machine) { return machine.reached && !machine.unreached_since; }
 
+// What a worker says: in a report of its own, or in the answer to an order.
+enum class Said : std::uint8_t { report, answer };
+
 class Contact {
  public:
   Contact(const ControllerSettings& settings, Fleet& fleet, TimePoint takeover)
-      : settings_(settings), fleet_(fleet), listening_since_(takeover) {}
+      : settings_(settings), fleet_(fleet), listening_since_(takeover), renewing_since_(takeover) {}
 
-  // A report newer than all seen of this machine.
-  void heard(Machine& machine, TimePoint now);
+  // A report or an answer newer than all seen of this machine.
+  void heard(Machine& machine, Said said, TimePoint now);
   // Something that we sent has arrived.
   void arrived(Machine& machine, TimePoint now);
   // Orders that were sent then were not answered.
@@ -32,6 +37,8 @@
   // Workers come to another controller: if this one hears none, it is this one that is cut off.
   void others_hear(TimePoint now) { others_hear_ = now; }
   bool hears_nobody(TimePoint now) const;
+  // No report of a machine's own has come for longer than an unanswered one may delay the next.
+  bool renews_nobody(TimePoint now) const;
 
   // Looks at the fleet. `serving`: reports are taken in. Time in which they are not, or in which
   // this process stood still, is nobody's silence.
@@ -47,6 +54,10 @@
   // It is heard, cannot be told anything, and is to be returned: tasks are stuck there and nothing
   // that runs there can end within its lease, or waiting has cost as much as another boot would.
   bool gives_up(const Machine& machine, Seconds boot, TimePoint now) const;
+  // It answers orders, reports to nobody, so that all that starts there ends with each lease, and
+  // is to be returned: nothing that runs there can end within its lease, and waiting has cost as
+  // much as another boot would.
+  bool gives_up_mute(const Machine& machine, Seconds boot, TimePoint now) const;
 
   // This leader hears or reaches none of its machines, though it should: the cause, or null.
   const char* cut_off(TimePoint now) const;
@@ -56,24 +67,33 @@
   template <class S, class F>
   static void fields(S& s, F&& f) {
     f(s.listening_since_, s.last_look_, s.last_heard_, s.last_reached_, s.up_, s.heard_lately_,
-      s.out_of_reach_, s.others_hear_);
+      s.out_of_reach_, s.others_hear_, s.last_renewed_, s.mute_, s.renewing_since_, s.many_mute_);
   }
 
  private:
   // Since `last`, as far as anything could have been noticed; without it since we listen.
   Duration since(const std::optional<TimePoint>& last, TimePoint now) const;
+  Duration since_renewed(const std::optional<TimePoint>& last, TimePoint now) const;
   Duration gap(double reports, Seconds least, Seconds most) const;
   Duration deaf_after() const;
+  Seconds mute_after() const;
+  bool many(std::size_t machines) const;
 
   const ControllerSettings& settings_;
   Fleet& fleet_;
   TimePoint listening_since_;  // the takeover at the earliest
+  // The same for reports of the machines' own: where all are mute, they are heard only when asked,
+  // which is no end of a cut each time.
+  TimePoint renewing_since_;
   TimePoint last_look_{};
   std::optional<TimePoint> last_heard_;    // any machine
+  std::optional<TimePoint> last_renewed_;  // any machine
   std::optional<TimePoint> last_reached_;  // any machine
   std::size_t up_ = 0;                     // at the last look, as the next two
   std::size_t heard_lately_ = 0;
-  std::size_t out_of_reach_ = 0;  // heard lately and not reached
+  std::size_t out_of_reach_ = 0;        // heard lately and not reached
+  std::size_t mute_ = 0;                // heard lately, and not by reports
+  std::optional<TimePoint> many_mute_;  // when so many last were that it was rather a cut
   std::optional<TimePoint> others_hear_;
 };
 
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -50,7 +50,10 @@
   void no_older_leader(TimePoint now) { recovery_.no_older_leader(now); }
   // Workers come to another controller.
   void others_hear(TimePoint now) { contact_.others_hear(now); }
-  bool hears_nobody(TimePoint now) const { return contact_.hears_nobody(now); }
+  // What others hear matters then.
+  bool cut_off_perhaps(TimePoint now) const {
+    return contact_.hears_nobody(now) || contact_.renews_nobody(now);
+  }
   // Stops and forgets that travel in the answer to a report.
   std::vector<Command> response_commands(const WorkerReport& report) const {
     return orders_.response_commands(report.machine, {report.session, report.sequence});
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -72,7 +72,9 @@
   bool registering = false;
   TimePoint since{};  // rented, or first known
   std::optional<TimePoint> up_since;
-  std::optional<TimePoint> heard;            // Contact's, like the next two
+  std::optional<TimePoint> heard;            // Contact's, like the next four
+  std::optional<TimePoint> renewed;          // its last report of its own, which our answer renews
+  std::optional<TimePoint> mute_since;       // it answers orders and reports to nobody
   std::optional<TimePoint> reached;          // our word arrived there, in this session
   std::optional<TimePoint> unreached_since;  // the first order list since that was not answered
   std::optional<TimePoint> notice_ends;
@@ -115,7 +117,7 @@
       s.quarantined, s.releasing, s.release_cause, s.release_retry, s.underused_since,
       s.sparse_since, s.idle_since, s.reserved_for, s.errors, s.error_jobs, s.in_doubt,
       s.starts_in_flight, s.orders_in_flight, s.unanswered, s.next_orders, s.orders_sent, s.reached,
-      s.unreached_since);
+      s.unreached_since, s.renewed, s.mute_since);
   }
 };
 
--- a/src/core/machine_clearing.cpp
+++ b/src/core/machine_clearing.cpp
@@ -11,7 +11,9 @@
   const auto& tuning = settings_.tuning;
   for (auto& [id, machine] : fleet_.all()) {
     if (!machine.up() || machine.releasing || catalog_.types().empty()) continue;
-    if (!machine.reserved_for.empty()) {
+    // A mute machine is idle because nothing is started there: how long it is waited for is
+    // Contact's to decide.
+    if (!machine.reserved_for.empty() || machine.mute_since) {
       fleet_.set(machine, &Machine::idle_since, {});
       fleet_.set(machine, &Machine::underused_since, {});
       continue;
--- a/src/core/machine_watch.cpp
+++ b/src/core/machine_watch.cpp
@@ -96,6 +96,8 @@
       if (heard_from_most && reckoning_.gives_up(machine)) give_up(machine, now);
       if (heard_from_most && contact_.gives_up(machine, boot_of(machine), now))
         want_release(machine, "out of reach", now);
+      if (heard_from_most && contact_.gives_up_mute(machine, boot_of(machine), now))
+        want_release(machine, "not reporting", now);
       if (quiet > silent_after) {
         orders_.want(machine);
         // After a takeover no older task starts until every machine is accounted for, so one that
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -12,7 +12,7 @@
 constexpr Seconds kFirstPause{2};
 }  // namespace
 
-void Reports::report(const WorkerReport& report, TimePoint now) {
+void Reports::take_in(const WorkerReport& report, Said said, TimePoint now) {
   if (report.token > token_) {
     out_.push_back(Resign{"worker " + report.machine + " has seen a higher token", false});
     return;
@@ -38,7 +38,7 @@
   const bool first = !machine.up();
   machine.session = report.session;
   machine.sequence = report.sequence;
-  contact_.heard(machine, now);
+  contact_.heard(machine, said, now);
   const bool moved =
       machine.type != report.type || machine.zone != report.zone || machine.spot != report.spot;
   if (machine.registered && machine.endpoint != report.endpoint) machine.registered = false;
@@ -235,7 +235,7 @@
     return;
   }
   const bool was_confirmed = machine->confirmed;
-  report(*answer, now);
+  take_in(*answer, Said::answer, now);
   machine = fleet_.find(id);
   if (machine == nullptr) return;
   // It came back on the connection that we opened. An answer that a later report has overtaken
--- a/src/core/reports.hpp
+++ b/src/core/reports.hpp
@@ -32,11 +32,13 @@
         gangs_(gangs),
         token_(token) {}
 
-  void report(const WorkerReport& report, TimePoint now);
+  // A report of the worker's own.
+  void report(const WorkerReport& report, TimePoint now) { take_in(report, Said::report, now); }
   // `answer`: null if none came.
   void orders_answered(const MachineId& id, const WorkerReport* answer, TimePoint now);
 
  private:
+  void take_in(const WorkerReport& report, Said said, TimePoint now);
   void absorb_task(Machine& machine, const TaskReport& entry, TimePoint now);
   void absorb_exit(Machine& machine, const TaskReport& entry, TimePoint now);
   void adopt(Machine& machine, const TaskReport& entry, TimePoint now);
--- a/src/core/starts.cpp
+++ b/src/core/starts.cpp
@@ -21,7 +21,8 @@
 
 bool Starts::placeable(const Machine& machine, TimePoint now) const {
   if (!machine.up() || !machine.confirmed || !machine.registered || machine.releasing) return false;
-  if (!reached(machine)) return false;
+  // All that starts on a mute machine ends with its lease.
+  if (!reached(machine) || machine.mute_since) return false;
   if (machine.clearing || machine.quarantined || machine.notice_ends) return false;
   return machine.heard && now - *machine.heard < to_duration(settings_.tuning.silent_after);
 }
--- a/src/history/frames.hpp
+++ b/src/history/frames.hpp
@@ -59,7 +59,7 @@
 };
 
 enum class FileKind : char { events = 'E', save = 'S' };
-inline constexpr std::uint16_t kFormatVersion = 6;
+inline constexpr std::uint16_t kFormatVersion = 7;
 
 // The fixed head: magic, kind, version, whether the frames are signed.
 std::string file_head(FileKind kind, bool keyed);
--- a/src/leader.cpp
+++ b/src/leader.cpp
@@ -210,7 +210,7 @@
 }
 
 void Leader::others_hear(core::TimePoint now) {
-  if (controller_ && controller_->hears_nobody(now)) feed(core::OthersHear{}, now);
+  if (controller_ && controller_->cut_off_perhaps(now)) feed(core::OthersHear{}, now);
 }
 
 void Leader::note_orders(const core::SendOrders& orders) {
--- a/tests/contact_test.cpp
+++ b/tests/contact_test.cpp
@@ -315,6 +315,108 @@
   EXPECT_EQ(running(), 12U);
 }
 
+// Workers that open no connection to any controller, while direct commands reach them: their leases
+// end, whatever they answer. Found by reading: an answer to an order counted as a report, so such a
+// machine looked healthy for ever, and got new tasks after each lease.
+class Mute : public Reach {
+ protected:
+  void mute(int first, int last, bool so = true) {
+    for (int i = first; i < last; ++i) workers_[name(i)].mute = so;
+  }
+  int starts(int first, int last) {
+    int sum = 0;
+    for (int i = first; i < last; ++i) sum += starts_sent_[name(i)];
+    return sum;
+  }
+};
+
+TEST_F(Mute, GetNothingThatTheirLeaseEndsAndAreReturnedWhenThatPays) {
+  fill_eight_machines();
+  mute(0, 2);
+  run(Seconds(14));
+  starts_sent_.clear();
+  EXPECT_TRUE(returned_.empty()) << causes_;
+  controller_->job_opened(job("req-2", 8), now_);
+  run(times_.lease + Seconds(4));
+  EXPECT_EQ(starts(0, 2), 0) << "all that starts there ends with the lease";
+  EXPECT_EQ(returned_, (std::set<MachineId>{name(0), name(1)})) << causes_;
+  EXPECT_NE(causes_.find("not reporting"), std::string::npos) << causes_;
+  EXPECT_EQ(running(), 24U) << "the others go on";
+  EXPECT_FALSE(resigned_);
+}
+
+TEST_F(Mute, AreUsedAgainWithTheirFirstReport) {
+  fill_eight_machines();
+  mute(0, 2);
+  run(Seconds(20));
+  mute(0, 2, false);
+  run(Seconds(8));
+  controller_->job_closed("req-1", now_);
+  run(Seconds(4));
+  controller_->job_opened(job("req-2", 32), now_);
+  run(Seconds(4));
+  EXPECT_EQ(running(), 32U);
+  EXPECT_TRUE(returned_.empty()) << causes_;
+}
+
+TEST_F(Mute, AreToldToStopWhatIsCancelled) {
+  fill_eight_machines();
+  mute(0, 8);
+  run(Seconds(18));
+  controller_->job_closed("req-1", now_);
+  run(Seconds(2));
+  EXPECT_EQ(running(), 0U);
+}
+
+// A cut of the workers' side: nothing is gained by returning the fleet, and nobody else hears them.
+TEST_F(Mute, AreManyAtOnceAndAreWaitedForAndTheLeaderStays) {
+  fill_eight_machines();
+  mute(0, 8);
+  run(times_.lease + Seconds(25));
+  EXPECT_TRUE(returned_.empty()) << causes_;
+  EXPECT_FALSE(resigned_);
+  EXPECT_EQ(running(), 0U) << "their leases have ended, and nothing was started anew";
+  mute(0, 8, false);
+  run(Seconds(8));
+  EXPECT_EQ(running(), 32U);
+  EXPECT_TRUE(returned_.empty()) << causes_;
+}
+
+// The fleet is not kept for ever either: idle machines that cannot be renewed cost money.
+TEST_F(Mute, AreNotKeptForEver) {
+  fill_eight_machines();
+  mute(0, 4);
+  run(times_.lease + Seconds(45));
+  EXPECT_EQ(returned_.size(), 4U) << causes_;
+}
+
+TEST_F(Mute, HereAndNotElsewhereMakeTheLeaderStepBack) {
+  fill_eight_machines();
+  mute(0, 8);
+  const auto cut = now_;
+  while (!resigned_ && now_ - cut < to_duration(times_.lease)) {
+    run(Seconds(1));
+    if (controller_->cut_off_perhaps(now_)) controller_->others_hear(now_);
+  }
+  ASSERT_TRUE(resigned_);
+  EXPECT_EQ(resigned_->second, "its machines answer, and report to other controllers");
+  EXPECT_LT(resigned_->first - cut, to_duration(times_.lease * 0.6)) << "while leases can be saved";
+  EXPECT_TRUE(returned_.empty()) << causes_;
+}
+
+// The direct answer confirms the machine, and renews nothing.
+TEST_F(Mute, SinceBeforeATakeoverAreNoPlaceForWorkEither) {
+  begin(8, 0);
+  mute(0, 2);
+  run(Seconds(14));
+  ASSERT_FALSE(controller_->recovering());
+  starts_sent_.clear();
+  controller_->job_opened(job("req-1", 32), now_);
+  run(Seconds(5));
+  EXPECT_EQ(starts(0, 2), 0);
+  EXPECT_EQ(running(), 24U);
+}
+
 // A job submitted with a mistake fails on every machine until its user cancels it.
 class Mistakes : public LeaderOfWorkers {};
 
--- a/tests/leader_of_workers.hpp
+++ b/tests/leader_of_workers.hpp
@@ -25,6 +25,7 @@
     std::uint64_t sequence = 0;
     Token token = 0;
     bool says = true;     // its reports arrive
+    bool mute = false;    // it reports to nobody, and answers what it is told
     bool gets = true;     // what it is told arrives
     bool gone = false;    // returned
     bool sick = false;    // every task fails there
@@ -55,7 +56,7 @@
     controller_->set_catalog({{"bench", {16, 0, 128}, 60, 0.5, 1.1, 0.39, Seconds(30), {"a"}}});
     next_ = now_;
   }
-  static std::string name(int i) { return "m" + std::to_string(100 + i); }
+  static std::string name(int i) { return std::to_string(100 + i).insert(0, 1, 'm'); }
   WallTime wall_now() const {
     return WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()));
   }
@@ -120,6 +121,7 @@
       worker.ended.clear();
       worker.renewed = now_;
     }
+    if (worker.mute) return;
     const auto report = report_of(id);
     if (!worker.says) return;
     controller_->report(report, now_);
--- a/tests/reckoning_test.cpp
+++ b/tests/reckoning_test.cpp
@@ -401,8 +401,10 @@
 // order that was held on its way may have come after the report.
 TEST_F(Takeover, AMachineThatWasAnsweredIsWaitedForUntilItsLeaseHasRunOut) {
   stored({"m1", "m2"}, {job("req-1", 1), job("req-2", 3)});
-  report("m2", busy());
-  run(Seconds(50));
+  for (int second = 0; second < 50; ++second) {
+    report("m2", busy());
+    run(Seconds(1));
+  }
   report("m1", {}, kToken - 1);
   last_.erase("m1");
   const auto lease = WorkerTimes{}.lease;
