--- a/src/core/assignments.cpp
+++ b/src/core/assignments.cpp
@@ -72,7 +72,7 @@
   }
   fleet_.touch(machine);
   machine.reported.clear();
-  recovery_.note_foreign(machine);
+  recovery_.note_foreign(machine, now);
 }
 
 void Assignments::runs_now(Assignment& assignment, Job* job, TimePoint now) {
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -197,6 +197,7 @@
       if (index < job.tasks.size() && saved > Seconds(0)) job.tasks[index].saved = saved;
     job.failed_on.insert(belief.failed_on.begin(), belief.failed_on.end());
     job.failures = belief.failures;
+    if (!belief.failed_on.empty()) job.last_failure = now;
     const auto pause = std::clamp(belief.pause - elapsed, Seconds(0), kLongestPause);
     job.backoff_until = now + to_duration(pause);
   }
--- a/src/core/gang_rooms.cpp
+++ b/src/core/gang_rooms.cpp
@@ -24,7 +24,7 @@
 GangRoom& GangRooms::open(const JobId& gang, const std::string& region, TimePoint now) {
   auto& room = rooms_[gang];
   room.region = region;
-  room.since = now;
+  room.since = room.grown = now;
   return room;
 }
 
--- a/src/core/gang_rooms.hpp
+++ b/src/core/gang_rooms.hpp
@@ -16,10 +16,11 @@
   TaskIndex asked = 0;    // places on machines that are being rented
   TaskIndex missing = 0;  // places neither claimed nor asked for nor coming back
   TimePoint since{};
+  TimePoint grown{};  // when it last claimed a machine
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.region, s.machines, s.asked, s.missing, s.since);
+    f(s.region, s.machines, s.asked, s.missing, s.since, s.grown);
   }
 };
 
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::seconds kRegisters{5};
 // A gang that cannot get on in its zone looks for another one after this.
 constexpr std::chrono::seconds kMoveAfter{3};
+constexpr std::chrono::seconds kStalls{60};  // a collection that gets nothing more
+constexpr std::chrono::seconds kTurn{5};     // of others then
 
 }  // namespace
 
@@ -34,13 +36,14 @@
 // Places for the gang's tasks on machines that could take them now, best first, at most as many
 // as it needs.
 std::vector<Gangs::GangPlace> Gangs::places_for(const Job& job, const std::string& region,
-                                                const std::vector<Machine*>& open) const {
+                                                const std::vector<Machine*>& open,
+                                                TimePoint now) const {
   const auto& spec = job.spec();
   std::vector<GangPlace> found;
   for (auto* machine : open) {
     if (!region.empty() && machine->zone != region) continue;
     if (!machine->reserved_for.empty() && machine->reserved_for != spec.id) continue;
-    if (bindings_.holds(machine->id) || job.failed_on.contains(machine->id)) continue;
+    if (bindings_.holds(machine->id) || job.avoids(machine->id, now)) continue;
     if (!allowed_on(spec, machine->type, machine->zone, machine->spot)) continue;
     const auto places = places_on(machine->free(), spec);
     if (places > 0) found.push_back({machine, places, image_rank(*machine, spec.image)});
@@ -80,7 +83,7 @@
     std::vector<GangPlace> best;
     TaskIndex most_holders = 0;
     for (const auto& region : regions(spec)) {
-      auto places = places_for(job, region, open);
+      auto places = places_for(job, region, open, now);
       if (total(places) < spec.tasks) continue;
       TaskIndex holders = 0;
       for (const auto& place : places) holders += place.image_rank == 2 ? place.tasks : 0;
@@ -141,7 +144,7 @@
   std::optional<std::string> best;
   std::tuple<bool, bool, TaskIndex> best_score{};
   for (const auto& region : regions(spec)) {
-    const auto free = total(places_for(job, region, open));
+    const auto free = total(places_for(job, region, open, now));
     const bool can_rent = market_.rentable(spec, region, now);
     if (!can_rent && free < spec.tasks && rooms_.another_is_short(region)) continue;
     const std::tuple score{free >= spec.tasks, can_rent, free};
@@ -155,6 +158,13 @@
 void Gangs::collect(Job& job, const std::vector<Machine*>& open, TimePoint now) {
   const auto& spec = job.spec();
   auto* room = rooms_.find(spec.id);
+  // Others wait beside what it keeps: if it gets nothing more, they have a turn.
+  if (room != nullptr && room->missing > 0 && room->asked == 0 && now - room->grown > kStalls) {
+    rooms_.close(fleet_, spec.id);
+    jobs_.touch(job);
+    job.backoff_until = now + kTurn;
+    return;
+  }
   if (room != nullptr && room->missing > 0 && room->asked == 0 &&
       !market_.rentable(spec, room->region, now)) {
     const bool give_way = rooms_.another_is_short(room->region);
@@ -196,10 +206,11 @@
     for (const auto& [zone, places] : use) sum += places;
     return sum;
   };
-  for (const auto& place : places_for(job, room->region, open)) {
+  for (const auto& place : places_for(job, room->region, open, now)) {
     if (covered() >= spec.tasks) break;
     if (!place.machine->reserved_for.empty()) continue;
     rooms_.claim(fleet_, spec.id, *place.machine);
+    room->grown = now;
     add(place.machine->zone, place.tasks);
   }
   const auto sum = covered();
--- a/src/core/gangs.hpp
+++ b/src/core/gangs.hpp
@@ -55,7 +55,7 @@
   };
   std::vector<std::string> regions(const JobSpec& spec) const;
   std::vector<GangPlace> places_for(const Job& job, const std::string& region,
-                                    const std::vector<Machine*>& open) const;
+                                    const std::vector<Machine*>& open, TimePoint now) const;
   static TaskIndex total(const std::vector<GangPlace>& places);
   bool start(Job& job, const std::vector<GangPlace>& places, TimePoint now);
   bool counts(const Machine& machine, TimePoint now) const;
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -40,6 +40,7 @@
   TimePoint opened{};
   std::set<MachineId> failed_on;
   int failures = 0;
+  TimePoint last_failure{};
   TimePoint backoff_until{};
   Attempt attempt = 0;  // of a gang whose tasks are on machines: they share it
   // Where each task was last started, as recorded or about to be; empty if nothing is recorded.
@@ -58,7 +59,7 @@
     f(s.record, s.carried_over, s.tasks, s.waiting, s.chunks_dirty, s.chunks_in_flight,
       s.chunks_stored, s.done, s.running, s.finishing, s.finish_retry, s.opened, s.failed_on,
       s.failures, s.backoff_until, s.attempt, s.placed, s.placed_known, s.placed_version,
-      s.placed_saved, s.begun, s.suspected, s.pause);
+      s.placed_saved, s.begun, s.suspected, s.pause, s.last_failure);
   }
 
   Job() : Job(JobRecord{}) {}
@@ -67,6 +68,11 @@
   }
 
   const JobSpec& spec() const { return record.spec; }
+  // One of its tasks failed there a while ago: others go first. Where all that fit are such, it
+  // would wait for ever beside free room, so they are forgotten after the longest pause.
+  bool avoids(const MachineId& machine, TimePoint now) const {
+    return !suspected && now - last_failure < kLongestPause && failed_on.contains(machine);
+  }
   bool gang() const { return record.spec.shape == Shape::gang; }
   bool service() const { return record.spec.shape == Shape::service; }
   // Gangs and services: few starts, and long waits when one is in doubt.
--- a/src/core/machine_clearing.cpp
+++ b/src/core/machine_clearing.cpp
@@ -12,8 +12,9 @@
   for (auto& [id, machine] : fleet_.all()) {
     if (!machine.up() || machine.releasing || catalog_.types().empty()) continue;
     // A mute machine is idle because nothing is started there: how long it is waited for is
-    // Contact's to decide.
-    if (!machine.reserved_for.empty() || machine.mute_since) {
+    // Contact's to decide. One that tasks are bound to waits for its turn: cleared, it took nobody,
+    // and they waited for it for ever (seed 2647 of Hunted).
+    if (!machine.reserved_for.empty() || machine.mute_since || bindings_.holds(id)) {
       fleet_.set(machine, &Machine::idle_since, {});
       fleet_.set(machine, &Machine::underused_since, {});
       continue;
@@ -26,7 +27,7 @@
           return !task.seen && task.abandoned &&
                  now - task.placed > to_duration(settings_.workers.lease);
         });
-    if (only_limbo && machine.confirmed && !bindings_.holds(id)) {
+    if (only_limbo && machine.confirmed) {
       if (!machine.idle_since) fleet_.set(machine, &Machine::idle_since, {now});
       // For work that may use no others, ordinary machines are not dear.
       const bool dear_one = !scarcity_.ordinary_work() && catalog_.types().contains(machine.type) &&
--- a/src/core/machine_watch.cpp
+++ b/src/core/machine_watch.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t kLateTogether = 3;    // machines of a type
 constexpr double kLateAtMost = 2.5;         // times the usual patience
 constexpr int kImagesPerPass = 20;          // their records only spare fetches after a takeover
+// From the end of a leader to the next one's first look: its hold, what is read, and the return's
+// way to the cloud (docs/safety.md, "A cancellation that an older leader knew").
+constexpr Seconds kTakesOver{5};
 }  // namespace
 
 void MachineWatch::note_boots(TimePoint now) {
@@ -63,12 +66,27 @@
 bool MachineWatch::unsettled(const Machine& machine, TimePoint now) const {
   const auto lease = settings_.workers.lease;
   const auto patience = to_duration(reached(machine) ? lease / 2 : lease);
+  // Of jobs that an older leader saw end; the wait began before we saw them.
+  const auto foreign = recovery_.foreign_since(machine.id);
+  if (foreign && now - *foreign > to_duration(lease / 2)) return true;
   return std::any_of(machine.tasks.begin(), machine.tasks.end(), [&](const auto& entry) {
     const auto& assignment = entry.second;
     return assignment.abandoned && assignment.stop_since && now - *assignment.stop_since > patience;
   });
 }
 
+// Nobody has heard of it since the takeover, and a job that was cancelled under an older leader, of
+// which no record is left, may have tasks there. That leader would have settled them a lease after
+// the cancellation; so what is left of `cancel_s` counts from our takeover. A leader that hears
+// nobody is cut off itself: then the workers that do not hang end their tasks with their leases.
+bool MachineWatch::may_hold_cancelled(const Machine& machine, TimePoint now) const {
+  const auto& times = settings_.workers;
+  const auto patience =
+      std::max(settings_.tuning.lost_after_takeover, times.cancel - times.lease - kTakesOver);
+  return reckoning_.silent(machine) && !contact_.hears_nobody(now) &&
+         now - takeover_ > to_duration(patience);
+}
+
 void MachineWatch::give_up(Machine& machine, TimePoint now) {
   if (!machine.releasing && recovery_.waits_for(machine.id)) reckoning_.count(&Squared::returned);
   want_release(machine, "silent", now);
@@ -114,14 +132,15 @@
         // would start them again (seed 1684 of the simulation). So nobody else may have led by the
         // time at which the lease ends.
         if (machine.confirmed && proved - last > to_duration(recovery_.whole_lease()) &&
-            !machine.tasks.empty()) {
+            !(machine.tasks.empty() && machine.reported.empty())) {
           // One that hangs has not run its lease out by itself.
           if (Orders::cancelled_on(machine))
             want_release(machine, "silent with cancelled work", now);
           assignments_.lose_all(machine, now);
         }
       }
-      if (unsettled(machine, now)) want_release(machine, "with cancelled work", now);
+      if (unsettled(machine, now) || may_hold_cancelled(machine, now))
+        want_release(machine, "with cancelled work", now);
       if (machine.quarantined && machine.tasks.empty()) want_release(machine, "sick", now);
       if (machine.images_changed && machine.registered && !machine.registering &&
           images_saved < kImagesPerPass) {
--- a/src/core/machine_watch.hpp
+++ b/src/core/machine_watch.hpp
@@ -50,6 +50,7 @@
   bool late_to_boot(const Machine& machine, TimePoint now) const;
   void note_boots(TimePoint now);
   bool unsettled(const Machine& machine, TimePoint now) const;
+  bool may_hold_cancelled(const Machine& machine, TimePoint now) const;
   void give_up(Machine& machine, TimePoint now);
   void release_machines(TimePoint now);
 
--- a/src/core/orders.cpp
+++ b/src/core/orders.cpp
@@ -35,7 +35,16 @@
 
 std::vector<Command> Orders::commands_for(const Machine& machine, bool with_starts) const {
   std::vector<Command> commands;
-  if (!machine.confirmed) return commands;
+  // What an unconfirmed machine lists may be out of date, but a job that has ended has for ever.
+  // The answer to its report renews its lease, so it must carry these stops: without them a task
+  // that an older leader had seen cancelled outlived `cancel_s`, as the machine was cut off right
+  // after (seed 1379 of Hunted).
+  if (!machine.confirmed) {
+    for (const auto& entry : machine.reported)
+      if (entry.state != TaskState::exited && !jobs_.table().contains(entry.task.job))
+        commands.push_back({Verb::stop, entry.task, entry.attempt, Seconds(0)});
+    return commands;
+  }
   for (const auto& entry : machine.reported)
     if (entry.state == TaskState::exited && forgettable(machine, entry))
       commands.push_back({Verb::forget, entry.task, entry.attempt, Seconds(0)});
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t kLeastStarts = 200;
 constexpr std::size_t kStartsPerOrder = 2;
 
+// Whatever room is kept for better use, a job that has waited for this takes what fits: then no
+// task waits for 90 s beside a machine that has room (docs/design.md, "Held back").
+constexpr Seconds kWaitedEnough{75};
+
 // How long a task waits for a machine that holds its image, in fetches. Where many tasks wait for
 // each place, a fetch takes room from all of them, and a holder is soon free.
 constexpr double kHolderPatience = 0.3;
@@ -122,8 +126,8 @@
   const bool waited = ahead || fetch < candidate.estimate * kFetchThatCounts ||
                       now - job.opened > to_duration(fetch * patience);
   const int least_rank = holders_only && !waited ? 1 : 0;
-  const bool patient =
-      !ahead && (scarcity_.narrow_waits() || now - job.opened < kReservationPatience);
+  const bool patient = !ahead && outlooks_.age(job, now) < kWaitedEnough &&
+                       (scarcity_.narrow_waits() || now - job.opened < kReservationPatience);
   const auto barred = patient ? scarcity_.types_for_others(spec) : std::vector<std::string>{};
   // Exception to the design: empty ordinary machines are left to work that may use no others
   // (docs/design.md, "Ordinary machines").
@@ -142,8 +146,7 @@
                  !(leaves_ordinary && !m.spot && m.tasks.empty() &&
                    catalog_.dear(m.type, m.spot)) &&
                  std::find(barred.begin(), barred.end(), m.type) == barred.end() &&
-                 (job.suspected || !job.failed_on.contains(m.id)) &&
-                 zone_allowed(spec, zones, m.zone);
+                 !job.avoids(m.id, now) && zone_allowed(spec, zones, m.zone);
         },
         least_rank);
     for (auto next = job.waiting.begin(); next != job.waiting.end() && !(zoned && started);) {
@@ -162,6 +165,32 @@
   }
 }
 
+// Machines that are being cleared take no new tasks, for as long as what runs there runs on. Where
+// a job has waited beside one and could have had its room, it is cleared no longer.
+void Placing::reopen_cleared(const std::vector<Candidate>& queue, TimePoint now) {
+  std::vector<Machine*> cleared;
+  for (auto& [id, machine] : fleet_.all())
+    if (machine.clearing && !machine.releasing) cleared.push_back(&machine);
+  if (cleared.empty()) return;
+  for (const auto& candidate : queue) {
+    const auto& job = *candidate.job;
+    const auto& spec = job.spec();
+    if (job.gang() || job.waiting.empty() || outlooks_.age(job, now) < kWaitedEnough) continue;
+    if (starts_.startable(job) == 0 || !starts_.within_limit(spec)) continue;
+    const auto zones = starts_.zone_use(job);
+    const auto fits = [&](const Machine* machine) {
+      return machine->clearing && spec.per_task.fits_in(machine->free()) &&
+             allowed_on(spec, machine->type, machine->zone, machine->spot) &&
+             zone_allowed(spec, zones, machine->zone) && !job.avoids(machine->id, now);
+    };
+    const auto found = std::find_if(cleared.begin(), cleared.end(), fits);
+    if (found == cleared.end()) continue;
+    fleet_.set(**found, &Machine::clearing, false);
+    fleet_.set(**found, &Machine::underused_since, {});
+    out_.want_placing();
+  }
+}
+
 void Placing::round(TimePoint now) {
   const bool round_due = now - last_place_ >= to_duration(settings_.tuning.round);
   const bool quick =
@@ -217,9 +246,10 @@
       if (standing_.leaves_limit(candidate)) continue;
       if (candidate.job->gang() && holders_only) gangs_.place(candidate, open, now);
       if (!packer.empty()) place_job(packer, candidate, holders_only, now);
-      if (candidate.due) standing_.passed(*candidate.job);
+      if (candidate.due) standing_.passed(*candidate.job, now);
     }
   standing_.hold(queue, now);
+  if (starts_left_ > 0) reopen_cleared(queue, now);
   preemption_.make_room_for_services(queue, now);
   out_.looked_at(fleet_.all().size() + packer.looks());
   reckoning_.note_cost(now);
--- a/src/core/placing.hpp
+++ b/src/core/placing.hpp
@@ -45,6 +45,7 @@
 
  private:
   void place(TimePoint now);
+  void reopen_cleared(const std::vector<Candidate>& queue, TimePoint now);
   std::vector<Candidate> waiting_jobs(TimePoint now);
   void place_bound(Packer& packer, TimePoint now);
   void place_job(Packer& packer, const Candidate& candidate, bool holders_only, TimePoint now);
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -96,7 +96,7 @@
     if (!room.region.empty() && machine.zone != room.region) continue;
     if (!starts_.placeable(machine, now) || !machine.reserved_for.empty() || machine.tasks.empty())
       continue;
-    if (bindings_.holds(id) || job.failed_on.contains(id)) continue;
+    if (bindings_.holds(id) || job.avoids(id, now)) continue;
     if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) continue;
     Seconds cost{0};
     bool all = true;
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -64,7 +64,7 @@
 // it holds; the same while one lists tasks whose job has ended and whose team is unknown.
 Resources Recovery::uncertain_use() const {
   Resources total;
-  for (const auto& id : foreign_)
+  for (const auto& [id, since] : foreign_)
     if (const auto* machine = fleet_.find(id)) total += machine->capacity;
   for (const auto& id : unconfirmed_)
     if (const auto* machine = fleet_.find(id); machine != nullptr && !foreign_.contains(id))
@@ -73,13 +73,13 @@
 }
 
 // Live tasks of jobs that are unknown here take room and count for a team that is unknown.
-void Recovery::note_foreign(Machine& machine) {
+void Recovery::note_foreign(Machine& machine, TimePoint now) {
   const bool foreign =
       std::any_of(machine.reported.begin(), machine.reported.end(), [&](const TaskReport& entry) {
         return entry.state != TaskState::exited && !machine.tasks.contains(entry.task);
       });
   if (foreign)
-    foreign_.insert(machine.id);
+    foreign_.emplace(machine.id, now);
   else
     foreign_.erase(machine.id);
 }
--- a/src/core/recovery.hpp
+++ b/src/core/recovery.hpp
@@ -49,7 +49,13 @@
   bool held(const Job& job, TaskIndex index) const;
   std::size_t held(const Job& job) const;
 
-  void note_foreign(Machine& machine);
+  void note_foreign(Machine& machine, TimePoint now);
+  // Since when the machine has listed live tasks of jobs that are unknown here: they have ended, or
+  // were cancelled under an older leader.
+  std::optional<TimePoint> foreign_since(const MachineId& id) const {
+    const auto found = foreign_.find(id);
+    return found == foreign_.end() ? std::nullopt : std::optional(found->second);
+  }
 
   // Counts what is uncertain anew; `uncertain` holds until the next round.
   void refresh();
@@ -72,7 +78,8 @@
   bool recovering_ = true;
   std::set<MachineId> unconfirmed_;
   std::set<OptionKey> unconfirmed_kinds_;  // type, zone and kind of those; may tell of too many
-  std::set<MachineId> foreign_;            // machines that list tasks of jobs that are unknown here
+  // Machines that list tasks of jobs that are unknown here, and since when.
+  std::map<MachineId, TimePoint> foreign_;
   Resources uncertain_;
 };
 
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -98,7 +98,7 @@
   }
   for (const auto& entry : report.tasks)
     if (known_truth || entry.state == TaskState::exited) absorb_task(machine, entry, now);
-  if (known_truth) recovery_.note_foreign(machine);
+  if (known_truth) recovery_.note_foreign(machine, now);
 }
 
 void Reports::absorb_task(Machine& machine, const TaskReport& entry, TimePoint now) {
@@ -196,6 +196,7 @@
 void Reports::task_failed(Machine& machine, Job& job, TimePoint now) {
   ++job.failures;
   job.failed_on.insert(machine.id);
+  job.last_failure = now;
   // A job that fails on machine after machine was submitted with a mistake: it must neither be
   // tried without pause nor bring healthy machines into quarantine.
   if (job.done == 0 && job.failed_on.size() >= 3) {
--- a/src/core/standing.cpp
+++ b/src/core/standing.cpp
@@ -14,6 +14,11 @@
 constexpr double kMostCredit = 16;
 constexpr double kLargest = 0.9;     // the largest tenth of a class's open jobs
 constexpr double kGivenUpAfter = 2;  // it could not be helped, and leaves its place to the next
+// What is kept for a due job, a machine or its team's limit, is kept for so long at a time; then
+// others have a turn. One due job after the other kept a team's limit for 150 s, beside room for
+// its small tasks (seed 1206 of Hunted).
+constexpr std::chrono::seconds kKeptFor{60};
+constexpr std::chrono::seconds kTurn{5};
 }  // namespace
 
 bool Standing::due(const Job& job, TimePoint now) const {
@@ -60,10 +65,15 @@
   return (spec.per_task * static_cast<double>(tasks)).fits_in(*room);
 }
 
-void Standing::passed(const Job& job) {
+void Standing::passed(const Job& job, TimePoint now) {
   const auto tasks = job.gang() ? job.waiting.size() : 1;
   if (job.begun || starts_.within_limit(job.spec(), tasks)) return;
-  if (fits_in_time(job, tasks)) blocked_teams_.insert(job.spec().team);
+  if (!fits_in_time(job, tasks)) return;
+  auto& left = limits_left_[job.spec().team];
+  if (now - left.last > kTurn) left.since = now;
+  if (now - left.since >= kKeptFor) return;
+  left.last = now;
+  blocked_teams_.insert(job.spec().team);
 }
 
 void Standing::let_go() {
@@ -103,9 +113,11 @@
     const auto* machine = fleet_.find(held_);
     const bool stays = job != jobs_.end() && waits(job->second, now) && machine != nullptr &&
                        machine->reserved_for == held_for_ && starts_.placeable(*machine, now);
-    if (stays) return;
+    if (stays && now - held_since_ < kKeptFor) return;
     let_go();
+    if (stays) rests_until_ = now + kTurn;
   }
+  if (now < rests_until_) return;
   const auto first = std::find_if(queue.begin(), queue.end(), [&](const Candidate& candidate) {
     return candidate.due && waits(*candidate.job, now);
   });
@@ -115,7 +127,7 @@
   Machine* best = nullptr;
   Seconds least = kEndless;
   for (auto& [id, machine] : fleet_.all()) {
-    if (!machine.reserved_for.empty() || bindings_.holds(id) || first->job->failed_on.contains(id))
+    if (!machine.reserved_for.empty() || bindings_.holds(id) || first->job->avoids(id, now))
       continue;
     if (!starts_.placeable(machine, now) || !spec.per_task.fits_in(machine.capacity)) continue;
     if (!allowed_on(spec, machine.type, machine.zone, machine.spot)) continue;
@@ -128,6 +140,7 @@
   if (best == nullptr) return;
   held_ = best->id;
   held_for_ = spec.id;
+  held_since_ = now;
   fleet_.set(*best, &Machine::reserved_for, held_for_);
 }
 
--- a/src/core/standing.hpp
+++ b/src/core/standing.hpp
@@ -40,7 +40,7 @@
   void new_round();
   // A job that is due was looked at and has not begun: where its team's limit is in the way, what
   // the team frees is kept for it.
-  void passed(const Job& job);
+  void passed(const Job& job, TimePoint now);
   bool leaves_limit(const Candidate& candidate) const {
     return !candidate.due && blocked_teams_.contains(candidate.job->spec().team);
   }
@@ -49,7 +49,7 @@
 
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.held_, s.held_for_, s.credit_);
+    f(s.held_, s.held_for_, s.credit_, s.held_since_, s.rests_until_, s.limits_left_);
   }
 
  private:
@@ -64,7 +64,21 @@
   const Starts& starts_;
   const Outlooks& outlooks_;
   const Bindings& bindings_;
-  double credit_ = 4;  // starts ahead of others that are allowed now
+  // A team's limit that is left to a due job: since when, and when last.
+  struct LimitLeft {
+    TimePoint since{};
+    TimePoint last{};
+
+    template <class S, class F>
+    static void fields(S& s, F&& f) {
+      f(s.since, s.last);
+    }
+  };
+
+  double credit_ = 4;                             // starts ahead of others that are allowed now
+  std::map<std::string, LimitLeft> limits_left_;  // by team
+  TimePoint held_since_{};
+  TimePoint rests_until_{};  // nothing is held before
   MachineId held_;
   JobId held_for_;
   std::set<std::string> blocked_teams_;       // in this round
--- a/tests/simulation_test.cpp
+++ b/tests/simulation_test.cpp
@@ -103,6 +103,28 @@
             << " of " << kTimes.cancel.count() << " s, " << world.gaps() << " gaps\n";
 }
 
+// Further meetings, beside all of the others: machines that are mute, a zone that is cut off,
+// nobody there for longer than a lease, leaders that change one after the other, jobs called off at
+// once whose machines hang. Afterwards nothing is left waiting beside room.
+class Hunted : public ::testing::TestWithParam<int> {};
+
+TEST_P(Hunted, KeepEveryRuleAndLeaveNothingWaiting) {
+  const auto seed = static_cast<std::uint64_t>(GetParam());
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  World world(seed);
+  world.further_meetings(seed);
+  if (seed % 4 == 0) world.commit_starts(true);
+  expect_all_runs(world, Seconds(400));
+  EXPECT_GT(world.mutes(), 0U);
+  EXPECT_LT(world.longest_beside_room(), Seconds(90)) << world.beside_room();
+  std::cout << "longest from a cancellation to gone: " << world.longest_cancelled().count()
+            << " of " << kTimes.cancel.count() << " s; waiting beside room "
+            << world.longest_beside_room().count() << " s; " << world.mutes() << " mute, "
+            << world.cuts() << " cuts, " << world.absences() << " absences, " << world.chains()
+            << " chains, " << world.calls_off() << " called off\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Hunted, ::testing::Range(901, 901 + seeds(32)));
 INSTANTIATE_TEST_SUITE_P(Seeds, Meetings, ::testing::Range(701, 701 + seeds(32)));
 INSTANTIATE_TEST_SUITE_P(Seeds, Operations, ::testing::Range(501, 501 + seeds(32)));
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <random>
+#include <sstream>
 
 #include "core/events.hpp"
 #include "core/leadership.hpp"
@@ -51,6 +52,7 @@
   TimePoint up_at{};
   TimePoint hangs_until{};
   TimePoint unreached_until{};  // its reports arrive; nothing that it is told does
+  TimePoint mute_until{};       // it reaches no controller, and answers what it is told
   bool follows_stale = false;   // it reports to a leader that has lost the store and its siblings
   int lives = 1;                // of the machine: each has an endpoint of its own
   std::uint64_t session = 1;
@@ -98,7 +100,10 @@
     while (now_ < end && !::testing::Test::HasFailure()) step();
   }
 
-  void quiet() { troubles_ = false; }
+  void quiet() {
+    troubles_ = false;
+    quiet_at_ = now_;
+  }
   // The troubles that operators met later, beside the others; their chances are drawn apart, so
   // that the worlds without them stay what they were.
   void operators_troubles(std::uint64_t seed) {
@@ -112,6 +117,23 @@
     operators_troubles(seed);
     meetings_ = true;
   }
+  // Further meetings: machines that are mute, some, a zone or all; a zone that is cut off for
+  // longer than a lease; all controllers away for longer than a lease; leaders that end one after
+  // the other; jobs called off at once whose machines hang.
+  void further_meetings(std::uint64_t seed) {
+    meetings(seed);
+    further_ = true;
+  }
+  std::size_t mutes() const { return mutes_; }
+  std::size_t cuts() const { return cuts_; }
+  std::size_t absences() const { return absences_; }
+  std::size_t chains() const { return chains_; }
+  std::size_t calls_off() const { return calls_off_; }
+  // Longest time, since the last trouble, for which a task of an array or a service waited beside a
+  // machine that fits, has room and works, its team being under its limit. Looked up in the world
+  // itself, not in the controller's books.
+  Seconds longest_beside_room() const { return longest_beside_room_; }
+  const std::string& beside_room() const { return beside_room_; }
   bool in_gap() const { return outage_ || refused_ || news_lack_; }
   std::size_t gaps() const { return gaps_; }
   std::size_t late_writes() const { return late_writes_; }
@@ -205,6 +227,7 @@
     }
     if (troubles_) trouble();
     if (troubles_ && operators_) more_trouble();
+    if (troubles_ && further_) further_trouble();
     users();
     for (auto& [id, worker] : workers_) live(worker);
     gangs();
@@ -212,6 +235,12 @@
       if (leader->get() != nullptr) drive(**leader);
     if (leader_ == nullptr && now_ >= next_takeover_) take_over();
     check();
+    if (further_ && quiet_at_) {
+      if (troubled())
+        beside_.clear();
+      else
+        check_waiting();
+    }
   }
 
   // --- leaders
@@ -222,6 +251,7 @@
     ++takeovers_;
     ++revision_;
     leader_token_ = revision_;
+    took_over_ = now_;
     leader_ = std::make_unique<LeaderProcess>(
         LeaderProcess{nullptr, Leadership(kTimes, milliseconds(25)), revision_, false, false, {}});
     leader_->leadership.won(revision_, 1, now_);
@@ -630,7 +660,7 @@
     if (changed) worker.next_report = std::min(worker.next_report, now_ + milliseconds(300));
     if (now_ >= worker.next_report) {
       worker.next_report = now_ + to_duration(Seconds(between(2.2, 3.7)));
-      send_report(worker);
+      if (now_ >= worker.mute_until) send_report(worker);
     }
   }
 
@@ -898,6 +928,65 @@
     });
   }
 
+  void mute(Worker& worker, Seconds length) {
+    worker.mute_until = std::max(worker.mute_until, now_ + to_duration(length));
+    ++mutes_;
+  }
+  // Jobs are called off within a fifth of a second, and up to eight of their machines hang.
+  void call_off() {
+    ++calls_off_;
+    std::vector<JobId> ids;
+    for (const auto& [id, job] : jobs_)
+      if (ids.size() < 4 && more_chance(0.5)) ids.push_back(id);
+    const Seconds hang(more_between(2, 1.3 * kTimes.lease.count()));
+    std::size_t hung = 0;
+    for (auto& [id, worker] : workers_)
+      for (const auto& [key, task] : worker.tasks)
+        if (hung < 8 && std::find(ids.begin(), ids.end(), key.first.job) != ids.end() &&
+            now_ >= worker.hangs_until) {
+          worker.hangs_until = now_ + to_duration(hang);
+          ++hung;
+        }
+    for (const auto& id : ids)
+      later(Seconds(more_between(0, 0.2)), [this, id] {
+        if (jobs_.contains(id)) cancel(id);
+      });
+  }
+  void further_trouble() {
+    const auto lease = kTimes.lease.count();
+    for (auto& [id, worker] : workers_)
+      if (!worker.gone && now_ >= worker.up_at && more_chance(0.0005))
+        mute(worker, Seconds(more_between(5, 2 * lease)));
+    if (more_chance(0.001)) {
+      const bool all = more_chance(0.5);
+      const std::string zone = more_chance(0.5) ? "a" : "b";
+      const Seconds length(more_between(5, 1.5 * lease));
+      for (auto& [id, worker] : workers_)
+        if (all || worker.zone == zone) mute(worker, length);
+    }
+    // Nobody on this side hears or reaches the zone, whatever its own controller does.
+    if (more_chance(0.001)) {
+      ++cuts_;
+      const std::string zone = more_chance(0.5) ? "a" : "b";
+      const auto until = now_ + to_duration(Seconds(more_between(0.5 * lease, 2 * lease)));
+      for (auto& [id, worker] : workers_)
+        if (worker.zone == zone) worker.mute_until = worker.unreached_until = until;
+    }
+    if (more_chance(0.001)) call_off();
+    if (more_chance(0.0006)) {
+      ++chains_;
+      for (double at = 0; at < 60;)
+        later(Seconds(at += more_between(2, 12)), [this] {
+          if (leader_ && troubles_) lead_no_more();
+        });
+    }
+    if (leader_ && !stale_ && more_chance(0.0006)) {
+      ++absences_;
+      lead_no_more();
+      next_takeover_ = now_ + to_duration(Seconds(more_between(1, 2) * lease));
+    }
+  }
+
   // What operators met later (PROTOCOL's additions).
   void more_trouble() {
     if (meetings_ && leader_ && !stale_ && !news_lack_ && !outage_ &&
@@ -934,6 +1023,152 @@
     }
   }
 
+  // What began before the quiet may last a while.
+  bool troubled() const {
+    if (in_gap() || stale_ || !leader_ || now_ - took_over_ < kStep) return true;
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+      const auto& worker = entry.second;
+      return now_ < std::max({worker.hangs_until, worker.unreached_until, worker.mute_until});
+    });
+  }
+  bool fits_now(const JobSpec& spec, const Worker& worker,
+                const std::map<std::string, TaskIndex>& zones) const {
+    if (worker.gone || worker.sick || worker.taken_at || now_ < worker.up_at) return false;
+    if (now_ < worker.hangs_until || now_ < worker.unreached_until || now_ < worker.mute_until)
+      return false;
+    if (!allowed_on(spec, worker.type, worker.zone, worker.spot)) return false;
+    const auto here = zones.find(worker.zone);
+    if (spec.same_zone && !zones.empty() && here == zones.end()) return false;
+    if (spec.spread && here != zones.end() && here->second + 1 > (spec.tasks + 1) / 2) return false;
+    return (used(worker) + spec.per_task).fits_in(type(worker.type).capacity);
+  }
+  // What the leader knows of such a task and of the machines beside it, for whoever looks for the
+  // cause.
+  std::string held_back(const TaskKey& key, const std::map<std::string, TaskIndex>& zones) const {
+    const auto& spec = specs_.at(key.job);
+    std::ostringstream text;
+    text << key.job << "/" << key.index << " of team " << spec.team << " at "
+         << Seconds(now_ - *quiet_at_).count() << " s";
+    if (!leader_) return text.str() + ", no leader";
+    const auto& controller = *leader_->controller;
+    const auto job = controller.jobs().find(key.job);
+    if (job == controller.jobs().end()) return text.str() + ", unknown to the leader";
+    const auto& task = job->second.tasks[key.index];
+    text << (controller.recovering() ? ", reckoning" : "") << ", phase "
+         << static_cast<int>(task.phase) << " on " << task.machine << " bound '" << task.bound
+         << "' paused " << Seconds(job->second.backoff_until - now_).count()
+         << (job->second.suspected ? ", suspected" : "") << ", team uses "
+         << controller.fleet().team_use(spec.team).cpus;
+    for (const auto& [id, other] : controller.jobs())
+      if (other.spec().team == spec.team && !other.waiting.empty())
+        text << "\n  " << id << (other.gang() ? " (gang)" : "") << " waits with "
+             << other.waiting.size() << " of " << other.tasks.size() << " of "
+             << other.spec().per_task.cpus << ", opened " << Seconds(now_ - other.opened).count()
+             << " s ago";
+    for (const auto& [id, machine] : controller.fleet().all())
+      for (const auto& [other, assignment] : machine.tasks) {
+        if (assignment.team != spec.team) continue;
+        const auto worker = workers_.find(id);
+        const auto live = worker == workers_.end()
+                              ? decltype(worker->second.tasks.begin()){}
+                              : worker->second.tasks.find({other, assignment.attempt});
+        if (worker != workers_.end() && live != worker->second.tasks.end() &&
+            live->second.state != TaskState::exited)
+          continue;
+        text << "\n  counted, and not there: " << other.job << "/" << other.index << " on " << id
+             << (assignment.seen ? ", seen" : "") << (assignment.stop ? ", stopped" : "")
+             << (assignment.abandoned ? ", abandoned" : "") << ", placed "
+             << Seconds(now_ - assignment.placed).count() << " s ago"
+             << (machine.releasing ? ", returned: " + machine.release_cause : "")
+             << (machine.unreached_since ? ", unreached" : "")
+             << (machine.in_doubt.contains(assignment.attempt) ? ", in doubt" : "");
+      }
+    for (const auto& [id, worker] : workers_) {
+      if (!fits_now(spec, worker, zones)) continue;
+      const auto* machine = controller.fleet().find(id);
+      text << "\n  " << id << " (" << worker.type << " in " << worker.zone << "): ";
+      if (machine == nullptr) {
+        text << "unknown";
+        continue;
+      }
+      text << "free " << machine->free().cpus << (machine->confirmed ? "" : ", not confirmed")
+           << (machine->registered ? "" : ", not registered")
+           << (machine->reached && !machine->unreached_since ? "" : ", not reached")
+           << (machine->mute_since ? ", mute" : "") << (machine->clearing ? ", clearing" : "")
+           << (machine->quarantined ? ", quarantined" : "")
+           << (machine->notice_ends ? ", notice" : "")
+           << (machine->releasing ? ", returned: " + machine->release_cause : "")
+           << (machine->reserved_for.empty() ? "" : ", kept for " + machine->reserved_for)
+           << (job->second.avoids(id, now_) ? ", avoided" : "");
+    }
+    return text.str();
+  }
+  void check_waiting() {
+    std::set<TaskKey> live;
+    std::map<JobId, std::map<std::string, TaskIndex>> zones;
+    std::map<std::string, double> team_cpus;
+    for (const auto& [id, worker] : workers_)
+      if (!worker.gone)
+        for (const auto& [key, task] : worker.tasks) {
+          if (task.state == TaskState::exited) continue;
+          live.insert(key.first);
+          ++zones[key.first.job][worker.zone];
+          const auto& spec = specs_.at(key.first.job);
+          team_cpus[spec.team] += spec.per_task.cpus;
+        }
+    std::map<TaskKey, TimePoint> beside;
+    for (const auto& [id, job] : jobs_) {
+      const auto& spec = specs_.at(id);
+      if (spec.shape == Shape::gang) continue;
+      double limit = 0;
+      for (const auto& team : teams_)
+        if (team.name == spec.team) limit = team.max_cpus;
+      for (TaskIndex i = 0; i < spec.tasks; ++i) {
+        const TaskKey key{id, i};
+        if (live.contains(key) || completed_.contains(key)) continue;
+        const bool room = team_cpus[spec.team] + spec.per_task.cpus <= limit &&
+                          std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+                            return fits_now(spec, entry.second, zones[id]);
+                          });
+        if (!room) continue;
+        const auto known = beside_.find(key);
+        const auto since = known == beside_.end() ? now_ : known->second;
+        beside[key] = since;
+        const Seconds together = now_ - since;
+        if (together <= longest_beside_room_) continue;
+        longest_beside_room_ = together;
+        if (together > std::chrono::seconds(45)) beside_room_ = held_back(key, zones[id]);
+      }
+    }
+    beside_ = std::move(beside);
+  }
+
+  // What the worker met, and what the leader knows of it, for whoever looks for a cause.
+  std::string situation(const Worker& worker) const {
+    const auto ago = [&](TimePoint then) { return Seconds(now_ - then).count(); };
+    std::ostringstream text;
+    text << worker.id << ", answered a report sent " << ago(worker.answered_sent)
+         << " s ago; seconds since the end of its hang " << ago(worker.hangs_until) << ", cut "
+         << ago(worker.unreached_until) << ", muteness " << ago(worker.mute_until) << "; token "
+         << worker.token << ", session " << worker.session;
+    if (stale_) text << "; an older leader " << stale_->token << " is there";
+    if (!leader_) return text.str() + "; no leader";
+    text << "; leader " << leader_->token << " since " << ago(took_over_) << " s"
+         << (leader_->leadership.may_serve(now_) ? "" : ", not serving")
+         << (leader_->controller->recovering() ? ", reckoning" : "");
+    const auto* machine = leader_->controller->fleet().find(worker.id);
+    if (machine == nullptr) return text.str() + ", does not know it";
+    if (machine->heard) text << ", heard " << ago(*machine->heard) << " s ago";
+    if (machine->unreached_since) text << ", unreached for " << ago(*machine->unreached_since);
+    if (machine->mute_since) text << ", mute for " << ago(*machine->mute_since);
+    text << (machine->confirmed ? "" : ", not confirmed")
+         << (machine->releasing ? ", returned: " + machine->release_cause : "");
+    for (const auto& [key, assignment] : machine->tasks)
+      text << "; " << key.job << "/" << key.index << (assignment.stop ? " stopped" : "")
+           << (assignment.abandoned ? " abandoned" : "");
+    return text.str();
+  }
+
   // --- the rules
   void check() {
     std::map<TaskKey, MachineId> live;
@@ -951,7 +1186,7 @@
         if (cancelled != cancelled_.end() && now_ >= worker.hangs_until) {
           longest_cancelled_ = std::max(longest_cancelled_, Seconds(now_ - cancelled->second));
           ASSERT_LE(Seconds(now_ - cancelled->second), kTimes.cancel + Seconds(0.2))
-              << "ran_cancelled " << key.first.job;
+              << "ran_cancelled " << key.first.job << " on " << situation(worker);
         }
       }
     }
@@ -991,6 +1226,16 @@
   std::size_t late_writes_ = 0;
   Seconds longest_cancelled_{0};
   TimePoint slow_until_{};
+  bool further_ = false;
+  std::size_t mutes_ = 0;
+  std::size_t cuts_ = 0;
+  std::size_t absences_ = 0;
+  std::size_t chains_ = 0;
+  std::size_t calls_off_ = 0;
+  std::optional<TimePoint> quiet_at_;
+  std::map<TaskKey, TimePoint> beside_;  // since when each task has waited beside room
+  Seconds longest_beside_room_{0};
+  std::string beside_room_;
   TimePoint now_{};
   std::multimap<TimePoint, std::function<void()>> events_;
   bool troubles_ = true;
@@ -1003,6 +1248,7 @@
   std::unique_ptr<LeaderProcess> leader_;
   std::unique_ptr<LeaderProcess> stale_;
   TimePoint next_takeover_{};
+  TimePoint took_over_{};
   Token resigning_ = 0;
   std::optional<TimePoint> deaf_at_;
   std::size_t takeovers_ = 0;
