--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -1169,6 +1169,25 @@
     return text.str();
   }
 
+  std::string places_of(const std::string& team) const {
+    std::ostringstream text;
+    for (const auto& [id, worker] : workers_) {
+      bool any = false;
+      for (const auto& [key, task] : worker.tasks) {
+        const auto& spec = specs_.at(key.first.job);
+        if (spec.team != team || task.state == TaskState::exited) continue;
+        any = true;
+        text << "\n"
+             << key.first.job << "/" << key.first.index << " of " << spec.per_task.cpus
+             << ", attempt of leader " << (key.second >> 24U)
+             << (jobs_.contains(key.first.job) ? "" : ", not open")
+             << (cancelled_.contains(key.first.job) ? ", cancelled" : "");
+      }
+      if (any) text << " on " << situation(worker);
+    }
+    return text.str();
+  }
+
   // --- the rules
   void check() {
     std::map<TaskKey, MachineId> live;
@@ -1203,7 +1222,8 @@
         }
     }
     for (const auto& team : teams_)
-      ASSERT_LE(team_cpus[team.name], team.max_cpus + 1e-6) << "quota " << team.name;
+      ASSERT_LE(team_cpus[team.name], team.max_cpus + 1e-6)
+          << "quota " << team.name << places_of(team.name);
   }
 
  public:
