An order's answer that names another machine, or breaks off, is no answer

Cause, by reading: an endpoint that belongs to another machine by now answered for the one that was asked, which then counted as reached. Logged with its cause; Orders.AnAnswerOfAnotherMachineOrAHalfOneIsNone fails without the check.

--- a/src/agent/orders_sender.cpp
+++ b/src/agent/orders_sender.cpp
@@ -65,6 +65,11 @@
   }
   try {
     const auto report = parse_report(response->body);
+    if (report.machine != id) {
+      spdlog::warn("machine {}: {} answers at its endpoint, which proves nothing of it", id,
+                   report.machine);
+      return answered_(id, nullptr);
+    }
     answered_(id, &report);
   } catch (const std::exception& problem) {
     spdlog::warn("machine {} answered nonsense: {}", id, problem.what());
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -72,5 +72,31 @@
   }
 }
 
+// An endpoint may belong to another machine by now: its answer says nothing of the one that was
+// asked, which looked reached and confirmed. Nor does one that breaks off in the middle.
+TEST(Orders, AnAnswerOfAnotherMachineOrAHalfOneIsNone) {
+  for (
+      const std::string body :
+      {R"({"rig":"m-2","endpoint":"127.0.0.1:1","bench":"small","district":"a","shift":1,"tally":1})",
+       R"({"rig":"m-1","endpoint":"127.0.0.1:1","bench":"small","distri)"}) {
+    asio::io_context io;
+    asio::ip::tcp::acceptor probe(io, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const auto at = probe.local_endpoint();
+    probe.close();
+    net::HttpServer other(io, at, net::ServerLimits{},
+                          [&body](net::Request&&, const net::Responder& respond) {
+                            respond({200, body, {}});
+                          });
+    std::vector<bool> answers;
+    OrdersSender sender(io, 7, 2, [&](const core::MachineId& id, const core::WorkerReport* report) {
+      EXPECT_EQ(id, "m-1");
+      answers.push_back(report != nullptr);
+    });
+    sender.send({"m-1", "127.0.0.1:" + std::to_string(at.port()), 1, {}});
+    for (int i = 0; i < 200 && answers.empty(); ++i) io.run_for(std::chrono::milliseconds(20));
+    EXPECT_EQ(answers, std::vector<bool>{false});
+  }
+}
+
 }  // namespace
 }  // namespace violetpulley::agent
