Every order of end, cancellation, question and repeat at a job's end, at two controllers

The shell's real parts against the state service's stand-in: 48 jobs, all 24 orders, at once and a millisecond apart.

--- a/tests/informed_test.cpp
+++ b/tests/informed_test.cpp
@@ -4,6 +4,8 @@
 // times that the parts themselves have read, so a slow machine changes no verdict.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <cstdlib>
 
 #include "api/job_codec.hpp"
@@ -49,7 +51,10 @@
                  static_cast<std::uint64_t>(seed) + 1),
         server(io, standins::any_port(), {},
                [this](net::Request&& request, const net::Responder& respond) {
-                 users.cancel(request.target.substr(1), respond);
+                 const auto id = request.target.substr(1);
+                 if (request.method == "GET") return users.poll(id, respond);
+                 if (request.method == "PUT") return users.submit(request, respond);
+                 users.cancel(id, respond);
                }),
         user(io, server.local_endpoint(), 64) {
     mirror.start();
@@ -279,6 +284,85 @@
   EXPECT_EQ(end_key->item.value.value("state", ""), "withdrawn");
 }
 
+// A job's last task ends while its user cancels it, asks about it and repeats its submission, at
+// two controllers, in every order of the four. One transaction decides; who loses tells what was
+// decided, and once anybody was told the end, nobody is told anything older.
+TEST_F(Informed, AnEndMeetsACancellationAQuestionAndARepeatInEveryOrder) {
+  auto& leader = lead();
+  auto& other = world_.other(leader);
+  for (auto* controller : {&leader, &other})
+    controller->types = {{"bench", {16, 0, 128}, 60, 0.5, 1.1, 0.39, Seconds(30), {"a"}}};
+  for (int i = 101; i < 148; ++i) submit(client_, "req-" + std::to_string(i));
+  job("req-148");
+  for (int i = 101; i < 148; ++i)
+    until([&] {
+      const auto id = "req-" + std::to_string(i);
+      return leader.mirror.find(id) != nullptr && other.mirror.find(id) != nullptr;
+    });
+  std::array<int, 4> order{0, 1, 2, 3};
+  int number = 100;
+  std::map<std::string, int> ends;
+  do {
+    for (const bool apart : {false, true}) {
+      const auto id = "req-" + std::to_string(++number);
+      const auto* record = leader.mirror.find(id);
+      ASSERT_NE(record, nullptr);
+      const auto repeat = api::job_to_json(record->spec).dump();
+      const auto revision = record->revision;
+      std::size_t open_requests = 0;
+      std::optional<TimePoint> end_told;
+      std::set<std::string> told;
+      std::function<void(Controller&, const char*, const std::string&)> ask;
+      ask = [&](Controller& at, const char* method, const std::string& body) {
+        ++open_requests;
+        at.user.request(
+            {method, "/" + id, body}, std::chrono::seconds(5),
+            [&, method, body, sent = Clock::now()](const std::optional<net::Response>& response) {
+              --open_requests;
+              ASSERT_TRUE(response) << id;
+              if (response->status == 503) return ask(at, method, body);  // as users do
+              ASSERT_EQ(response->status, 200) << id;
+              const auto status = Json::parse(response->body).at("status").get<std::string>();
+              if (status != "done" && status != "withdrawn") {
+                EXPECT_FALSE(end_told && sent >= *end_told) << id << " was told its end before";
+                return;
+              }
+              told.insert(status);
+              if (end_told) return;
+              end_told = Clock::now();
+              for (auto* controller : {&leader, &other}) ask(*controller, "GET", "");
+            });
+      };
+      bool ended = false;
+      const auto end = [&] {
+        leader.store.commit({{{kJobPrefix + id, revision},
+                              {kEndPrefix + id, 0},
+                              {"leader", leader.leadership.token()}},
+                             {{kJobPrefix + id, std::nullopt, std::nullopt},
+                              {kEndPrefix + id, Json{{"state", "done"}}, std::nullopt}}},
+                            Urgency::safety, [&](const TransactionResult& result) {
+                              ended = true;
+                              if (result.outcome == Outcome::ok)
+                                leader.mirror.note_closed(id, result.revision);
+                            });
+      };
+      for (const auto event : order) {
+        if (event == 0) end();
+        if (event == 1) ask(number % 4 < 2 ? other : leader, "POST", "");
+        if (event == 2) ask(number % 3 == 0 ? leader : other, "GET", "");
+        if (event == 3) ask(number % 5 < 2 ? leader : other, "PUT", repeat);
+        if (apart) io_.run_for(milliseconds(1));
+      }
+      until([&] { return ended && open_requests == 0; });
+      ASSERT_EQ(told.size(), 1U) << id << ": one end, whoever is asked";
+      ++ends[*told.begin()];
+    }
+  } while (std::next_permutation(order.begin(), order.end()));
+  EXPECT_EQ(ends["done"] + ends["withdrawn"], 48);
+  EXPECT_GT(ends["done"], 0);
+  EXPECT_GT(ends["withdrawn"], 0);
+}
+
 // Many worlds side by side: refusals of the leader alone, outages soon after, several in a row,
 // slow answers, cancellations at each moment; machines whose leases the leader renews. For each
 // cancelled task: from the confirmation to its being gone.
