--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -17,8 +17,6 @@
 constexpr std::chrono::seconds kRegisters{5};
 // A gang that cannot get on in its zone looks for another one after this.
 constexpr std::chrono::seconds kMoveAfter{3};
-constexpr std::chrono::seconds kStalls{60};  // a collection that gets nothing more
-constexpr std::chrono::seconds kTurn{5};     // of others then
 
 }  // namespace
 
@@ -159,7 +157,7 @@
   const auto& spec = job.spec();
   auto* room = rooms_.find(spec.id);
   // Others wait beside what it keeps: if it gets nothing more, they have a turn.
-  if (room != nullptr && room->missing > 0 && room->asked == 0 && now - room->grown > kStalls) {
+  if (room != nullptr && room->missing > 0 && room->asked == 0 && now - room->grown > kKeptFor) {
     rooms_.close(fleet_, spec.id);
     jobs_.touch(job);
     job.backoff_until = now + kTurn;
--- a/src/core/standing.cpp
+++ b/src/core/standing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/limits.hpp"
 #include "core/scaler.hpp"
 
 namespace violetpulley::core {
@@ -14,11 +15,6 @@
 constexpr double kMostCredit = 16;
 constexpr double kLargest = 0.9;     // the largest tenth of a class's open jobs
 constexpr double kGivenUpAfter = 2;  // it could not be helped, and leaves its place to the next
-// What is kept for a due job, a machine or its team's limit, is kept for so long at a time; then
-// others have a turn. One due job after the other kept a team's limit for 150 s, beside room for
-// its small tasks (seed 1206 of Hunted).
-constexpr std::chrono::seconds kKeptFor{60};
-constexpr std::chrono::seconds kTurn{5};
 }  // namespace
 
 bool Standing::due(const Job& job, TimePoint now) const {
