Failing tests: an attempt that has ended in doubt is run again by a delayed start

A start without a response may be carried out once more. On a machine that has lost its tasks within one agent epoch it runs an attempt that had ended there: beside the task's next attempt (ran_twice), beyond the limit of its team (quota), or after the cancellation of its job (ran_cancelled).

--- /dev/null
+++ b/tests/core/machines/ended_attempts_test.cpp
@@ -0,0 +1,248 @@
+/// @file
+/// Tests of attempts that have ended on a machine although their start was never answered, so that
+/// a delayed start may run them there again once the machine has lost its memory of them
+/// (docs/safety.md, "An attempt that has ended in doubt"; docs/incidents/seed-3130.md).
+#include "support/leader_with_agents.hpp"
+
+namespace violetpulley::core {
+namespace {
+
+/// Every start is carried out and none is answered. Then a task ends, its machine loses its tasks
+/// within the same agent epoch, and the start arrives once more.
+class EndedAttempts : public LeaderWithAgents {
+ protected:
+  /// The machine with the task; fails the test if there is none.
+  std::map<MachineId, Agent>::iterator machine_of(const TaskKey& task) {
+    const auto found = std::find_if(agents_.begin(), agents_.end(), [&](const auto& entry) {
+      return !entry.second.returned && entry.second.tasks.contains(task);
+    });
+    EXPECT_NE(found, agents_.end()) << task.job << "/" << task.index << " runs nowhere";
+    return found;
+  }
+  /// Opens a job whose starts are carried out without a response.
+  void start_without_responses(const JobRecord& record) {
+    answer_commands(false);
+    controller_->job_opened(record, now_);
+    run(Seconds(4));
+    answer_commands(true);
+    run(Seconds(4));
+  }
+  void answer_commands(bool answers) {
+    for (auto& [id, agent] : agents_) agent.answers_commands = answers;
+  }
+  /// Ends a task now; returns its start command.
+  Command end_task(Agent& agent, const TaskKey& key, bool fails = false) {
+    auto& task = agent.tasks.at(key);
+    task.ends = now_;
+    task.fails = fails;
+    return {CommandType::start, key, task.attempt, Seconds(0)};
+  }
+  /// The agent is back without its tasks, in the same epoch, and then the starts arrive.
+  void forget_and_deliver(Agent& agent, const std::vector<Command>& delayed) {
+    agent.ended.clear();
+    if (!agent.returned) execute(agent, delayed);
+  }
+  /// How often the task is on machines that are not returned.
+  std::size_t copies_of(const TaskKey& task) const {
+    return static_cast<std::size_t>(
+        std::count_if(agents_.begin(), agents_.end(), [&](const auto& entry) {
+          return !entry.second.returned && entry.second.tasks.contains(task);
+        }));
+  }
+  JobRecord narrow_job(const JobId& id, TaskIndex tasks) const {
+    auto record = job(id, tasks);
+    record.spec.team = "narrow";  // 8 CPUs at most, 4 each task
+    return record;
+  }
+};
+
+TEST_F(EndedAttempts, ADoneTaskThatMayBeStartedAgainCountsAgainstItsTeamsLimit) {
+  begin(3, 0);
+  run(Seconds(2));
+  start_without_responses(narrow_job("req-1", 2));
+  ASSERT_EQ(running(), 2U);
+  auto& agent = machine_of({"req-1", 0})->second;
+  const auto delayed = end_task(agent, {"req-1", 0});
+  run(Seconds(4));
+  controller_->job_opened(narrow_job("req-2", 2), now_);
+  run(Seconds(4));
+  forget_and_deliver(agent, {delayed});
+  EXPECT_LE(running(), 2U) << "quota: 8 CPUs at most, and each task takes 4";
+}
+
+TEST_F(EndedAttempts, ATeamAtItsLimitGetsItBackWithoutLosingMoreThanTheMachine) {
+  begin(3, 0);
+  run(Seconds(2));
+  start_without_responses(narrow_job("req-1", 2));
+  ASSERT_EQ(running(), 2U);
+  for (const TaskIndex index : {0U, 1U})
+    end_task(machine_of({"req-1", index})->second, {"req-1", index});
+  run(Seconds(4));
+  ASSERT_TRUE(done_.contains("req-1"));
+  EXPECT_TRUE(returned_.empty()) << release_causes_;
+  controller_->job_opened(narrow_job("req-2", 2), now_);
+  run(Seconds(40));
+  EXPECT_EQ(running(), 2U) << "nothing waits for 90 s beside free capacity";
+}
+
+TEST_F(EndedAttempts, DoneTasksHoldNothingUpAndReturnNothingWhileTheirTeamHasRoom) {
+  begin(3, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 8));
+  ASSERT_EQ(running(), 8U);
+  for (TaskIndex index = 0; index < 8; ++index)
+    end_task(machine_of({"req-1", index})->second, {"req-1", index});
+  run(Seconds(4));
+  ASSERT_EQ(running(), 0U);
+  controller_->job_opened(job("req-2", 12), now_);
+  run(Seconds(60));
+  EXPECT_EQ(running(), 12U) << "ended attempts take no capacity";
+  EXPECT_TRUE(returned_.empty()) << release_causes_;
+}
+
+TEST_F(EndedAttempts, ACancelledTaskIsSettledInTimeAfterItHasEnded) {
+  begin(4, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 1));
+  auto& agent = machine_of({"req-1", 0})->second;
+  const Command delayed{
+      CommandType::start, {"req-1", 0}, agent.tasks.begin()->second.attempt, Seconds(0)};
+  controller_->job_closed("req-1", now_);
+  // The cancellation may have been confirmed a serving time (cancel - lease) before it was known.
+  run(times_.lease * 0.6);
+  forget_and_deliver(agent, {delayed});
+  EXPECT_EQ(copies_of({"req-1", 0}), 0U) << "ran_cancelled";
+}
+
+TEST_F(EndedAttempts, ADoneTaskOfAJobThatIsCancelledLaterIsSettledInTime) {
+  begin(4, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 2));
+  auto& agent = machine_of({"req-1", 0})->second;
+  const auto delayed = end_task(agent, {"req-1", 0});
+  run(Seconds(30));
+  controller_->job_closed("req-1", now_);
+  run(times_.lease * 0.6);
+  forget_and_deliver(agent, {delayed});
+  EXPECT_EQ(copies_of({"req-1", 0}), 0U) << "ran_cancelled";
+}
+
+// The cancellation won against the end of the job, which had been requested already.
+TEST_F(EndedAttempts, ADoneTaskOfAJobWhoseEndWasRefusedIsSettledInTime) {
+  begin(4, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 1));
+  auto& agent = machine_of({"req-1", 0})->second;
+  const auto delayed = end_task(agent, {"req-1", 0});
+  run(Seconds(4));
+  ASSERT_TRUE(done_.contains("req-1"));
+  controller_->finish_answered("req-1", now_);
+  run(times_.lease * 0.6);
+  forget_and_deliver(agent, {delayed});
+  EXPECT_EQ(copies_of({"req-1", 0}), 0U) << "ran_cancelled";
+}
+
+TEST_F(EndedAttempts, AGangStartsAnewOnlyWhenNoneOfItsFormerTasksMayStartAgain) {
+  begin(4, 0);
+  run(Seconds(2));
+  auto gang = job("req-1", 2);
+  gang.spec.shape = Shape::gang;
+  gang.spec.per_task = {16, 0, 16};
+  start_without_responses(gang);
+  ASSERT_EQ(running(), 2U);
+  const auto first = machine_of({"req-1", 0});
+  const auto second = machine_of({"req-1", 1});
+  std::vector<Command> delayed{end_task(first->second, {"req-1", 0}, true)};
+  const std::vector<Command> other{end_task(second->second, {"req-1", 1}, true)};
+  for (int step = 0; step < 30; ++step) {
+    run(Seconds(1));
+    auto before = agents_;
+    forget_and_deliver(first->second, delayed);
+    forget_and_deliver(second->second, other);
+    ASSERT_LE(copies_of({"req-1", 0}), 1U) << "ran_twice after " << step << " s";
+    ASSERT_LE(copies_of({"req-1", 1}), 1U) << "ran_twice after " << step << " s";
+    agents_ = before;
+  }
+  EXPECT_EQ(running(), 2U) << "the gang runs on other machines";
+}
+
+TEST_F(EndedAttempts, AReplicaIsReplacedOnlyWhenItsFormerStartMayNotArriveAgain) {
+  begin(4, 0);
+  run(Seconds(2));
+  auto service = job("req-1", 1);
+  service.spec.shape = Shape::service;
+  start_without_responses(service);
+  const auto first = machine_of({"req-1", 0});
+  const std::vector<Command> delayed{end_task(first->second, {"req-1", 0})};
+  for (int step = 0; step < 30; ++step) {
+    run(Seconds(1));
+    auto before = agents_;
+    forget_and_deliver(first->second, delayed);
+    ASSERT_LE(copies_of({"req-1", 0}), 1U) << "ran_twice after " << step << " s";
+    agents_ = before;
+  }
+  EXPECT_EQ(running(), 1U);
+}
+
+// The loss is noticed before the delayed start arrives: the machine lists nothing.
+TEST_F(EndedAttempts, ANoticedLossDoesNotFreeTheTask) {
+  begin(3, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 5));
+  const auto first = machine_of({"req-1", 0});
+  const std::vector<Command> delayed{end_task(first->second, {"req-1", 0}, true)};
+  run(Seconds(3));
+  first->second.ended.clear();
+  run(Seconds(5));
+  forget_and_deliver(first->second, delayed);
+  EXPECT_LE(copies_of({"req-1", 0}), 1U) << "ran_twice";
+  run(Seconds(40));
+  EXPECT_EQ(running(), 5U);
+}
+
+// The machine runs other tasks as well: they lose at most what they have not saved, and the task
+// that has ended does not wait for their end.
+TEST_F(EndedAttempts, AHeldTaskRunsAgainWithinItsBoundBesideLongTasks) {
+  begin(3, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 5));
+  ASSERT_EQ(running(), 5U);
+  end_task(machine_of({"req-1", 0})->second, {"req-1", 0}, true);
+  run(Seconds(40));
+  EXPECT_EQ(running(), 5U);
+}
+
+TEST_F(EndedAttempts, AGrownEpochFreesTheTaskAtOnce) {
+  begin(3, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 5));
+  const auto first = machine_of({"req-1", 0});
+  end_task(first->second, {"req-1", 0}, true);
+  run(Seconds(3.5));
+  ++first->second.epoch;
+  first->second.tasks.clear();
+  first->second.ended.clear();
+  run(Seconds(8));
+  EXPECT_EQ(running(), 5U);
+  EXPECT_TRUE(returned_.empty()) << release_causes_;
+}
+
+// With the cloud down nothing rules the delayed start out, so the task waits; it runs again soon
+// after the cloud has answered.
+TEST_F(EndedAttempts, WhileTheCloudIsDownTheTaskWaits) {
+  begin(3, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 1));
+  const auto first = machine_of({"req-1", 0});
+  const std::vector<Command> delayed{end_task(first->second, {"req-1", 0}, true)};
+  cloud_answers_ = false;
+  run(Seconds(60));
+  EXPECT_EQ(running(), 0U);
+  cloud_answers_ = true;
+  run(Seconds(10));
+  EXPECT_EQ(running(), 1U);
+  EXPECT_TRUE(returned_.contains(first->first));
+}
+
+}  // namespace
+}  // namespace violetpulley::core
--- a/tests/support/leader_with_agents.hpp
+++ b/tests/support/leader_with_agents.hpp
@@ -101,10 +101,15 @@
       if (command.type == CommandType::acknowledge) agent.ended.erase(command.task);
     }
   }
+  /// How long a task of the job runs; a job that has ended is still known to the agents.
+  Seconds run_time_of(const JobId& id) const {
+    const auto found = controller_->jobs().find(id);
+    if (found == controller_->jobs().end()) return kEndless;
+    return found->second.service() ? kEndless : found->second.spec().estimate;
+  }
   /// Runs a task for its estimate, or for a second if it fails.
   void start_task(Agent& agent, const Command& command) {
-    const auto& job = controller_->jobs().at(command.task.job);
-    const auto run_time = job.service() ? kEndless : job.spec().estimate;
+    const auto run_time = run_time_of(command.task.job);
     const bool fails = agent.faulty || faulty_jobs_.contains(command.task.job);
     agent.tasks[command.task] = {command.attempt,
                                  now_ + (fails ? seconds(1) : to_duration(run_time)), fails};
