An attempt that ended in doubt is kept until a delayed start cannot run it again

Cause: a task was freed with the end of its attempt, and the agent's memory of the attempt was the only guard against the delayed start.

EndedAttempts keeps such attempts until their machine has a new epoch or is returned.

Operators: log lines for held tasks and for machines that have lost tasks, causes delayed_start and ended_attempts in 'why'.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -15,8 +15,9 @@
       recovery_(out_, fleet_, former_leases_end, settings_.workers.lease),
       registry_(out_, fleet_),
       commands_(settings_.sockets, settings_.tuning.max_commands_in_flight, out_, fleet_, jobs_),
-      assignments_(out_, fleet_, jobs_, recovery_),
-      task_starter_(settings_, catalog_, fleet_, jobs_, commands_, forecaster_, recovery_, token),
+      assignments_(out_, fleet_, jobs_, recovery_, ended_attempts_),
+      task_starter_(settings_, catalog_, fleet_, jobs_, commands_, forecaster_, recovery_,
+                    ended_attempts_, token),
       reconciler_(settings_, catalog_, fleet_, jobs_, recovery_, commands_, task_starter_, now),
       offerings_(catalog_),
       learned_state_handover_(settings_, fleet_, jobs_, estimator_, offerings_),
@@ -31,7 +32,8 @@
              reconciler_, assignments_, registry_, now),
       heartbeats_(settings_, out_, catalog_, fleet_, failure_detector_, jobs_, estimator_,
                   forecaster_, recovery_, reconciler_, registry_, commands_, assignments_,
-                  gang_scheduler_, token),
+                  gang_scheduler_, ended_attempts_, token),
+      doubt_resolver_(settings_, fleet_, jobs_, task_starter_, ended_attempts_),
       consolidation_(settings_, catalog_, fleet_, jobs_, commands_, bindings_, scarcity_, watch_),
       replica_consolidation_(settings_, out_, fleet_, jobs_, commands_, task_starter_, bindings_),
       starvation_guard_(settings_, fleet_, jobs_, task_starter_, forecaster_, bindings_),
@@ -88,10 +90,19 @@
     commands_.stop(machine, assignment, now);
   };
   each_on_machines(fleet_, found->second, end_assignment);
+  // A job that has not asked for its end was cancelled. If its end was refused, that is known when
+  // the request is answered.
+  if (!found->second.complete() || !found->second.finishing) ended_attempts_.cancel_job(id, now);
   gang_scheduler_.job_closed(id);
   jobs_.close(id);
 }
 
+void Controller::finish_answered(const JobId& job, TimePoint retry, TimePoint now) {
+  // The job has ended, and not by this request: it may have been cancelled.
+  if (jobs_.find(job) == jobs_.end()) ended_attempts_.cancel_job(job, now);
+  jobs_.finish_answered(job, retry);
+}
+
 void Controller::placements_saved(const JobId& id, PlacementVersion version) {
   jobs_.placements_saved(id, version);
   const auto found = jobs_.find(id);
@@ -114,6 +125,12 @@
   out_.want_placing();
 }
 
+void Controller::return_settled_machines(TimePoint now) {
+  doubt_resolver_.settle_machines(now);
+  for (const auto& id : doubt_resolver_.machines_to_return(now))
+    watch_.request_release(*fleet_.find(id), "with a delayed start", now);
+}
+
 // The cloud's answer proves that the machine and all its tasks are gone.
 void Controller::forget_returned_machine(Machine& machine, TimePoint now) {
   const MachineId id = machine.id;
@@ -150,7 +167,10 @@
 void Controller::tick(TimePoint now, bool may_place, TimePoint last_proven) {
   recovery_.check(last_proven);
   reconciler_.query_machines(now);
-  if (watch_.watch(now, may_place, last_proven)) consolidation_.consolidate(now);
+  if (watch_.watch(now, may_place, last_proven)) {
+    return_settled_machines(now);
+    consolidation_.consolidate(now);
+  }
   replica_consolidation_.consolidate(now);
   gang_scheduler_.restart_broken(now);
   if (may_place) scheduler_.round(now);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/autoscaling/consolidation.hpp"
+#include "core/failover/doubt_resolver.hpp"
 #include "core/failover/heartbeat_handler.hpp"
 #include "core/failover/reconciler.hpp"
 #include "core/learned_state_handover.hpp"
@@ -72,7 +73,7 @@
   /// A `SavePlacements` of this version was committed: the starts that waited for it are sent.
   void placements_saved(const JobId& id, PlacementVersion version);
   /// A `FinishJob` was not carried out; the next try is not before `retry`.
-  void finish_answered(const JobId& job, TimePoint retry) { jobs_.finish_answered(job, retry); }
+  void finish_answered(const JobId& job, TimePoint retry, TimePoint now);
 
   /// Result of the `ScaleOut` with this name.
   void scale_out_answered(const std::string& name, const ScaleOutResult& answer, TimePoint now) {
@@ -101,6 +102,7 @@
   const InstanceOfferings& offerings() const { return offerings_; }
   const Reconciler& reconciler() const { return reconciler_; }
   const CommandDispatcher& commands() const { return commands_; }
+  const EndedAttempts& ended_attempts() const { return ended_attempts_; }
   /// Whether tasks of former leaders may still be on unconfirmed machines.
   bool recovering() const { return recovery_.recovering(); }
   /// Machines examined so far, each time counted; tests compare the count with the events.
@@ -117,7 +119,8 @@
   void before_changes(Fleet::BeforeChange machine, Jobs::BeforeChange job);
 
   /// Calls `visit(name, part)` for every part that owns state, in the order of snapshots. The names
-  /// are stored.
+  /// are stored. A new part goes to the end and is omitted when empty (`kOmittedWhenEmpty`), so
+  /// that snapshots of versions before it keep their bytes.
   template <class Self, class Visit>
   static void each_part(Self& self, const Visit& visit) {
     visit("outbox", self.out_);
@@ -140,11 +143,13 @@
     visit("replicas", self.replica_consolidation_);
     visit("standing", self.starvation_guard_);
     visit("placing", self.scheduler_);
+    visit("ended attempts", self.ended_attempts_);
   }
 
  private:
   void recover_jobs(const RecoveredState& recovered, FencingToken token, TimePoint now);
   void recover_machine(const MachineRecord& record, TimePoint now);
+  void return_settled_machines(TimePoint now);
   void forget_returned_machine(Machine& machine, TimePoint now);
   Machine& add_unexpected_machine(const ListedMachine& listed, TimePoint now);
 
@@ -159,6 +164,7 @@
   Recovery recovery_;
   MachineRegistry registry_;
   CommandDispatcher commands_;
+  EndedAttempts ended_attempts_;
   Assignments assignments_;
   TaskStarter task_starter_;
   Reconciler reconciler_;
@@ -171,6 +177,7 @@
   ScaleOutPlanner scale_out_;
   MachineWatch watch_;
   HeartbeatHandler heartbeats_;
+  DoubtResolver doubt_resolver_;
   Consolidation consolidation_;
   ReplicaConsolidation replica_consolidation_;
   StarvationGuard starvation_guard_;
--- a/src/core/dispatch/task_starter.cpp
+++ b/src/core/dispatch/task_starter.cpp
@@ -24,22 +24,33 @@
   // All tasks that start behind an outbound partition end with the machine's lease.
   if (!is_reachable(machine) || machine.outbound_partition_since) return false;
   if (machine.draining || machine.quarantined || machine.notice_ends) return false;
+  if (ended_attempts_.is_settling(machine.id)) return false;
   return machine.last_heartbeat &&
          now - *machine.last_heartbeat < to_duration(settings_.tuning.silent_after);
 }
 
-bool TaskStarter::within_limit(const JobSpec& spec, std::size_t tasks) const {
+Resources TaskStarter::possible_use(const std::string& team) const {
+  return fleet_.team_use(team) + recovery_.possible_use() + ended_attempts_.use_of(team);
+}
+
+bool TaskStarter::fits_limit(const JobSpec& spec, std::size_t tasks, const Resources& use) const {
   const auto found = catalog_.teams().find(spec.team);
   if (found == catalog_.teams().end()) return false;
-  const auto added = spec.per_task * static_cast<double>(tasks);
-  return (fleet_.team_use(spec.team) + recovery_.possible_use() + added)
-      .fits_in(limit_of(found->second));
+  return (use + spec.per_task * static_cast<double>(tasks)).fits_in(limit_of(found->second));
+}
+
+bool TaskStarter::within_limit(const JobSpec& spec, std::size_t tasks) const {
+  return fits_limit(spec, tasks, possible_use(spec.team));
+}
+
+bool TaskStarter::within_limit_without_ended(const JobSpec& spec, std::size_t tasks) const {
+  return fits_limit(spec, tasks, fleet_.team_use(spec.team) + recovery_.possible_use());
 }
 
 std::optional<Resources> TaskStarter::quota_left(const std::string& team) const {
   const auto found = catalog_.teams().find(team);
   if (found == catalog_.teams().end()) return std::nullopt;
-  return limit_of(found->second) - fleet_.team_use(team) - recovery_.possible_use();
+  return limit_of(found->second) - possible_use(team);
 }
 
 ZoneUse TaskStarter::zone_use(const Job& job) const {
@@ -54,6 +65,12 @@
     if (const auto* machine = fleet_.find(blocked ? job.placed[index] : task.machine))
       ++use[machine->zone];
   }
+  // A held task is assigned to its machine, and counted above.
+  const auto [first, last] = ended_attempts_.of_job(job.spec().id);
+  for (auto entry = first; entry != last; ++entry)
+    if (const auto* machine = fleet_.find(entry->second.machine);
+        machine != nullptr && entry->second.task == EndedTask::done)
+      ++use[machine->zone];
   return use;
 }
 
--- a/src/core/dispatch/task_starter.hpp
+++ b/src/core/dispatch/task_starter.hpp
@@ -8,6 +8,7 @@
 #include "core/failover/recovery.hpp"
 #include "core/jobs/deadline_forecaster.hpp"
 #include "core/jobs/jobs.hpp"
+#include "core/machines/ended_attempts.hpp"
 
 namespace violetpulley::core {
 
@@ -28,7 +29,7 @@
   /// `token`: this leader's fencing token, from which its attempts are derived.
   TaskStarter(const ControllerSettings& settings, const Catalog& catalog, Fleet& fleet, Jobs& jobs,
               CommandDispatcher& commands, const DeadlineForecaster& forecaster,
-              const Recovery& recovery, FencingToken token)
+              const Recovery& recovery, const EndedAttempts& ended_attempts, FencingToken token)
       : settings_(settings),
         catalog_(catalog),
         fleet_(fleet),
@@ -36,6 +37,7 @@
         commands_(commands),
         forecaster_(forecaster),
         recovery_(recovery),
+        ended_attempts_(ended_attempts),
         next_attempt_((token << kAttemptCounterBits) + 1) {}
 
   /// A number that no other attempt of any leader has.
@@ -62,6 +64,8 @@
   bool within_limit(const JobSpec& spec) const { return within_limit(spec, 1); }
   /// Whether `tasks` more tasks of the job keep its team's limit. False for unknown teams.
   bool within_limit(const JobSpec& spec, std::size_t tasks) const;
+  /// The same if no delayed start could run an ended attempt again.
+  bool within_limit_without_ended(const JobSpec& spec, std::size_t tasks) const;
 
   /// Resources that the team may still use; nothing for unknown teams.
   std::optional<Resources> quota_left(const std::string& team) const;
@@ -81,6 +85,10 @@
   static constexpr unsigned kAttemptCounterBits = 24;
 
   bool may_start(const Job& job, TaskIndex index, const Machine& machine, TimePoint now) const;
+  bool fits_limit(const JobSpec& spec, std::size_t tasks, const Resources& use) const;
+  /// What the team uses or may use: its assignments, ended attempts that may run again, and what
+  /// is unknown after a failover.
+  Resources possible_use(const std::string& team) const;
   Assignment make_assignment(Job& job, TaskIndex index, const Machine& machine, Attempt attempt,
                              TimePoint now);
 
@@ -91,6 +99,7 @@
   CommandDispatcher& commands_;
   const DeadlineForecaster& forecaster_;
   const Recovery& recovery_;
+  const EndedAttempts& ended_attempts_;
   Attempt next_attempt_;
 };
 
--- a/src/core/events.cpp
+++ b/src/core/events.cpp
@@ -55,7 +55,7 @@
     controller.progress_saved(event.saved, event.ok);
   }
   void operator()(const FinishAnswered& event) const {
-    controller.finish_answered(event.job, event.retry);
+    controller.finish_answered(event.job, event.retry, now);
   }
   void operator()(const ScaleOutAnswered& event) const {
     controller.scale_out_answered(event.name, event.answer, now);
--- a/src/core/failover/assignments.cpp
+++ b/src/core/failover/assignments.cpp
@@ -77,6 +77,7 @@
     drop(machine, key, now);
     if (!orphaned) requeue(key);
   }
+  for (const auto& key : ended_attempts_.clear_machine(machine.id)) requeue(key);
   fleet_.before_change(machine);
   machine.task_statuses.clear();
   recovery_.update_unknown_tasks(machine, now);
--- a/src/core/failover/assignments.hpp
+++ b/src/core/failover/assignments.hpp
@@ -6,6 +6,7 @@
 
 #include "core/failover/recovery.hpp"
 #include "core/jobs/jobs.hpp"
+#include "core/machines/ended_attempts.hpp"
 
 namespace violetpulley::core {
 
@@ -16,8 +17,13 @@
 /// Keeps the assignments of machines and the tasks of jobs consistent.
 class Assignments {
  public:
-  Assignments(Outbox& out, Fleet& fleet, Jobs& jobs, Recovery& recovery)
-      : out_(out), fleet_(fleet), jobs_(jobs), recovery_(recovery) {}
+  Assignments(Outbox& out, Fleet& fleet, Jobs& jobs, Recovery& recovery,
+              EndedAttempts& ended_attempts)
+      : out_(out),
+        fleet_(fleet),
+        jobs_(jobs),
+        recovery_(recovery),
+        ended_attempts_(ended_attempts) {}
 
   /// Marks the task as running since `now`. `job`: null if it has ended.
   void mark_running(Assignment& assignment, Job* job, TimePoint now);
@@ -29,8 +35,8 @@
   void reset_to_unseen(Machine& machine, const TaskKey& key, TimePoint now);
   /// Makes the task wait for another start. Its former attempt is proven to have ended.
   void requeue(const TaskKey& key);
-  /// Removes all assignments of a machine that has lost its tasks and requeues those that are
-  /// still needed.
+  /// Removes all assignments of a machine that has lost its tasks, and its ended attempts that a
+  /// delayed start might have run again; requeues the tasks that are still needed.
   void lose_all(Machine& machine, TimePoint now);
 
  private:
@@ -41,6 +47,7 @@
   Fleet& fleet_;
   Jobs& jobs_;
   Recovery& recovery_;
+  EndedAttempts& ended_attempts_;
 };
 
 }  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/failover/doubt_resolver.cpp
@@ -0,0 +1,124 @@
+/// @file
+/// Which machines are settled for waiting jobs, in the order of what their return costs.
+#include "core/failover/doubt_resolver.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace violetpulley::core {
+
+namespace {
+
+/// Attempts in doubt that one agent is to remember at most. Each takes about 100 bytes of every
+/// heartbeat, which holds 64 KiB at most (PROTOCOL).
+constexpr std::size_t kMaxAttemptsInDoubt = 200;
+/// Machines that are settled for limits at the same time: so many, or this share of the fleet.
+constexpr std::size_t kMinSettling = 2;
+constexpr double kMaxSettlingShare = 0.05;
+
+/// A machine with ended attempts of a team.
+struct SettleCandidate {
+  const Machine* machine = nullptr;
+  Resources freed;  ///< of the team's limit
+  Seconds cost{0};  ///< run time that the other tasks on the machine lose
+};
+
+Seconds cost_of_return(const Machine& machine, TimePoint now) {
+  Seconds cost{0};
+  for (const auto& [key, assignment] : machine.tasks) cost += unsaved(assignment, now);
+  return cost;
+}
+
+bool is_cheaper(const SettleCandidate& a, const SettleCandidate& b) {
+  return std::tie(a.cost, a.machine->id) < std::tie(b.cost, b.machine->id);
+}
+
+/// Tasks that start together, or the smallest number that can start.
+std::size_t tasks_at_once(const Job& job) { return job.gang() ? job.waiting.size() : 1; }
+
+}  // namespace
+
+void DoubtResolver::settle_machines(TimePoint now) {
+  settle_full_memories(now);
+  if (ended_attempts_.empty()) return;
+  settle_for_zones(now);
+  settle_for_limits(now);
+}
+
+void DoubtResolver::settle_full_memories(TimePoint now) {
+  for (const auto& [id, machine] : fleet_.all())
+    if (machine.in_doubt_attempts.size() > kMaxAttemptsInDoubt) ended_attempts_.settle(id, now);
+}
+
+void DoubtResolver::settle_for_zones(TimePoint now) {
+  for (const auto& [task, ended] : ended_attempts_.attempts()) {
+    const auto found = jobs_.find(task.job);
+    if (found == jobs_.end() || found->second.waiting.empty()) continue;
+    const auto& spec = found->second.spec();
+    if (spec.same_zone || spec.spread) ended_attempts_.settle(ended.machine, now);
+  }
+}
+
+void DoubtResolver::settle_for_limits(TimePoint now) {
+  std::set<std::string> teams;
+  for (const auto& [task, ended] : ended_attempts_.attempts()) teams.insert(ended.team);
+  for (const auto& team : teams) {
+    const auto need = need_of(team, now);
+    if (!need.fits_in(Resources{})) settle_for_team(team, need, now);
+  }
+}
+
+Resources DoubtResolver::need_of(const std::string& team, TimePoint now) const {
+  // In the order of their names, so that equal states give equal sums.
+  std::map<JobId, const Job*> blocked;
+  for (const auto& [id, job] : jobs_) {
+    if (job.spec().team != team || job.waiting.empty() || now < job.backoff_until) continue;
+    const auto tasks = tasks_at_once(job);
+    if (!task_starter_.within_limit(job.spec(), tasks) &&
+        task_starter_.within_limit_without_ended(job.spec(), tasks))
+      blocked.emplace(id, &job);
+  }
+  Resources need;
+  for (const auto& [id, job] : blocked)
+    need += job->spec().per_task * static_cast<double>(job->waiting.size());
+  return need;
+}
+
+std::size_t DoubtResolver::max_settling() const {
+  const auto share = static_cast<double>(fleet_.all().size()) * kMaxSettlingShare;
+  return std::max(kMinSettling, static_cast<std::size_t>(share));
+}
+
+void DoubtResolver::settle_for_team(const std::string& team, Resources need, TimePoint now) {
+  std::map<MachineId, Resources> freed_by_machine;
+  for (const auto& [task, ended] : ended_attempts_.attempts())
+    if (ended.team == team) freed_by_machine[ended.machine] += ended.resources;
+  std::vector<SettleCandidate> candidates;
+  for (const auto& [id, freed] : freed_by_machine) {
+    const auto* machine = fleet_.find(id);
+    if (ended_attempts_.is_settling(id))
+      need -= freed;
+    else if (machine != nullptr)
+      candidates.push_back({machine, freed, cost_of_return(*machine, now)});
+  }
+  std::sort(candidates.begin(), candidates.end(), is_cheaper);
+  for (const auto& candidate : candidates) {
+    if (need.fits_in(Resources{})) return;
+    if (ended_attempts_.settling().size() >= max_settling()) return;
+    ended_attempts_.settle(candidate.machine->id, now);
+    need -= candidate.freed;
+  }
+}
+
+std::vector<MachineId> DoubtResolver::machines_to_return(TimePoint now) const {
+  std::vector<MachineId> machines;
+  for (const auto& [id, since] : ended_attempts_.settling()) {
+    const auto* machine = fleet_.find(id);
+    if (machine == nullptr || machine->releasing) continue;
+    if (machine->tasks.empty() || now - since >= to_duration(settling_time(settings_.workers)))
+      machines.push_back(id);
+  }
+  return machines;
+}
+
+}  // namespace violetpulley::core
--- a/src/core/failover/heartbeat_handler.cpp
+++ b/src/core/failover/heartbeat_handler.cpp
@@ -122,6 +122,8 @@
   for (const auto& [key, assignment] : machine.tasks)
     if (assignment.seen && !std::binary_search(listed.begin(), listed.end(), assignment.attempt))
       missing.push_back(key);
+  if (missing.empty()) return;
+  out_.push_back(MachineLostTasks{machine.id, machine.epoch, missing.size()});
   for (const auto& key : missing) remove_missing_task(machine, key, now);
 }
 
--- a/src/core/failover/heartbeat_handler.hpp
+++ b/src/core/failover/heartbeat_handler.hpp
@@ -21,7 +21,7 @@
                    RunTimeEstimator& estimator, const DeadlineForecaster& forecaster,
                    Recovery& recovery, Reconciler& reconciler, MachineRegistry& registry,
                    CommandDispatcher& commands, Assignments& assignments, GangScheduler& gangs,
-                   FencingToken token)
+                   EndedAttempts& ended_attempts, FencingToken token)
       : out_(out),
         catalog_(catalog),
         fleet_(fleet),
@@ -33,7 +33,7 @@
         registry_(registry),
         commands_(commands),
         assignments_(assignments),
-        task_exits_(settings, out, fleet, jobs, estimator, assignments, gangs),
+        task_exits_(settings, out, fleet, jobs, estimator, assignments, gangs, ended_attempts),
         token_(token) {}
 
   /// Applies a periodic heartbeat. A heartbeat with a higher fencing token than ours ends this
--- a/src/core/failover/task_exit_handler.cpp
+++ b/src/core/failover/task_exit_handler.cpp
@@ -18,12 +18,18 @@
   assignments_.drop(machine, status.task, now, status.stored);
   out_.want_placing();
   const auto found = jobs_.find(status.task.job);
-  if (found == jobs_.end()) return;
+  if (found == jobs_.end()) {
+    const auto task = assignment.orphaned ? EndedTask::cancelled : EndedTask::done;
+    keep_if_in_doubt(machine, status, assignment, task, now);
+    return;
+  }
   auto& job = found->second;
   jobs_.before_change(job);
-  if (status.cause == ExitCause::done && !job.service())
+  if (status.cause == ExitCause::done && !job.service()) {
+    keep_if_in_doubt(machine, status, assignment, EndedTask::done, now);
     return handle_completion(machine, assignment, job, status.task.index, now);
-  job.set_waiting(status.task.index);
+  }
+  requeue(machine, status, assignment, job, now);
   if (status.cause == ExitCause::done) {
     // A replica runs until its job is cancelled; a replica that ends by itself is replaced after a
     // pause.
@@ -37,6 +43,25 @@
     delay_restart(job, now);
 }
 
+bool TaskExitHandler::keep_if_in_doubt(const Machine& machine, const TaskStatus& status,
+                                       const Assignment& assignment, EndedTask task,
+                                       TimePoint now) {
+  if (!machine.in_doubt_attempts.contains(status.attempt)) return false;
+  ended_attempts_.add(
+      status.task, {machine.id, status.attempt, assignment.team, assignment.resources, task}, now);
+  return true;
+}
+
+void TaskExitHandler::requeue(Machine& machine, const TaskStatus& status,
+                              const Assignment& assignment, Job& job, TimePoint now) {
+  // Until the delayed start is ruled out the task stays assigned to its machine.
+  if (keep_if_in_doubt(machine, status, assignment, EndedTask::held, now))
+    out_.push_back(
+        TaskHeld{status.task, machine.id, status.attempt, settling_time(settings_.workers)});
+  else
+    job.set_waiting(status.task.index);
+}
+
 void TaskExitHandler::handle_completion(Machine& machine, const Assignment& assignment, Job& job,
                                         TaskIndex index, TimePoint now) {
   if (assignment.running_since && !assignment.stop)
--- a/src/core/failover/task_exit_handler.hpp
+++ b/src/core/failover/task_exit_handler.hpp
@@ -12,14 +12,16 @@
 class TaskExitHandler {
  public:
   TaskExitHandler(const ControllerSettings& settings, Outbox& out, Fleet& fleet, Jobs& jobs,
-                  RunTimeEstimator& estimator, Assignments& assignments, GangScheduler& gangs)
+                  RunTimeEstimator& estimator, Assignments& assignments, GangScheduler& gangs,
+                  EndedAttempts& ended_attempts)
       : settings_(settings),
         out_(out),
         fleet_(fleet),
         jobs_(jobs),
         estimator_(estimator),
         assignments_(assignments),
-        gang_scheduler_(gangs) {}
+        gang_scheduler_(gangs),
+        ended_attempts_(ended_attempts) {}
 
   /// Ends the assignment of a task that has exited on this machine; there must be one.
   void handle(Machine& machine, const TaskStatus& status, TimePoint now);
@@ -27,6 +29,12 @@
   void record_done(Job& job, TaskIndex index);
 
  private:
+  /// Keeps the attempt if a delayed start may run it again on its machine; returns whether it may.
+  bool keep_if_in_doubt(const Machine& machine, const TaskStatus& status,
+                        const Assignment& assignment, EndedTask task, TimePoint now);
+  /// Lets the task wait for another start; it is held if its ended attempt is in doubt.
+  void requeue(Machine& machine, const TaskStatus& status, const Assignment& assignment, Job& job,
+               TimePoint now);
   void handle_completion(Machine& machine, const Assignment& assignment, Job& job, TaskIndex index,
                          TimePoint now);
   static void delay_restart(Job& job, TimePoint now);
@@ -42,6 +50,7 @@
   RunTimeEstimator& estimator_;
   Assignments& assignments_;
   GangScheduler& gang_scheduler_;
+  EndedAttempts& ended_attempts_;
 };
 
 }  // namespace violetpulley::core
--- /dev/null
+++ b/src/core/machines/ended_attempts.cpp
@@ -0,0 +1,61 @@
+/// @file
+/// The table of attempts that have ended in doubt, and its sums by team.
+#include "core/machines/ended_attempts.hpp"
+
+#include <limits>
+
+namespace violetpulley::core {
+
+void EndedAttempts::add(const TaskKey& task, EndedAttempt ended, TimePoint now) {
+  if (const auto known = attempts_.find(task); known != attempts_.end()) remove(known);
+  if (ended.task != EndedTask::done) settle(ended.machine, now);
+  by_machine_[ended.machine].insert(task);
+  use_by_team_[ended.team] += ended.resources;
+  attempts_.emplace(task, std::move(ended));
+}
+
+std::pair<EndedAttempts::Table::const_iterator, EndedAttempts::Table::const_iterator>
+EndedAttempts::of_job(const JobId& job) const {
+  return {attempts_.lower_bound({job, 0}),
+          attempts_.upper_bound({job, std::numeric_limits<TaskIndex>::max()})};
+}
+
+void EndedAttempts::cancel_job(const JobId& job, TimePoint now) {
+  const auto [first, last] = of_job(job);
+  for (auto entry = first; entry != last; ++entry) {
+    attempts_.at(entry->first).task = EndedTask::cancelled;
+    settle(entry->second.machine, now);
+  }
+}
+
+std::vector<TaskKey> EndedAttempts::clear_machine(const MachineId& machine) {
+  std::vector<TaskKey> held;
+  settling_.erase(machine);
+  const auto found = by_machine_.find(machine);
+  if (found == by_machine_.end()) return held;
+  const auto tasks = std::move(found->second);
+  for (const auto& task : tasks) {
+    const auto entry = attempts_.find(task);
+    if (entry->second.task == EndedTask::held) held.push_back(task);
+    remove(entry);
+  }
+  by_machine_.erase(machine);
+  return held;
+}
+
+void EndedAttempts::remove(Table::iterator entry) {
+  const auto& ended = entry->second;
+  auto& use = use_by_team_.at(ended.team);
+  use -= ended.resources;
+  by_machine_[ended.machine].erase(entry->first);
+  attempts_.erase(entry);
+  // No rounding errors are left behind.
+  if (attempts_.empty()) use_by_team_.clear();
+}
+
+Resources EndedAttempts::use_of(const std::string& team) const {
+  const auto found = use_by_team_.find(team);
+  return found == use_by_team_.end() ? Resources{} : found->second;
+}
+
+}  // namespace violetpulley::core
--- a/src/core/model/actions.hpp
+++ b/src/core/model/actions.hpp
@@ -149,9 +149,35 @@
   }
 };
 
+/// Logs that a task has ended and may not run elsewhere yet: a delayed start may still run the
+/// ended attempt again on its machine.
+struct TaskHeld {
+  TaskKey task;
+  MachineId machine;
+  Attempt attempt = 0;
+  Seconds at_most{0};  ///< The return of the machine is requested within this time.
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.task, s.machine, s.attempt, s.at_most);
+  }
+};
+
+/// Logs that a machine lists tasks no more that it had listed as running, in the same agent epoch.
+struct MachineLostTasks {
+  MachineId machine;
+  AgentEpoch epoch = 0;
+  std::size_t tasks = 0;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.machine, s.epoch, s.tasks);
+  }
+};
+
 /// New kinds go to the end: the history names a kind by its position here.
-using Action =
-    std::variant<SendCommands, SaveMachine, DeleteMachine, SaveProgress, FinishJob, DeleteProgress,
-                 ScaleOut, ScaleIn, Resign, SavePlacements, MarkPlacements, JobSuspected>;
+using Action = std::variant<SendCommands, SaveMachine, DeleteMachine, SaveProgress, FinishJob,
+                            DeleteProgress, ScaleOut, ScaleIn, Resign, SavePlacements,
+                            MarkPlacements, JobSuspected, TaskHeld, MachineLostTasks>;
 
 }  // namespace violetpulley::core
--- a/src/diagnostics/placement_explanation.cpp
+++ b/src/diagnostics/placement_explanation.cpp
@@ -18,7 +18,8 @@
 
 // Why a machine takes no tasks of the job, as a stable code of the operators' interface; null: the
 // machine may take tasks.
-const char* set_aside_cause(const core::Machine& machine, const core::JobId& job) {
+const char* set_aside_cause(const core::Machine& machine, const core::JobId& job,
+                            const core::EndedAttempts& ended_attempts) {
   if (machine.releasing) return "returned";
   if (machine.quarantined) return "quarantined";
   if (!machine.up()) return "booting";
@@ -26,6 +27,7 @@
   if (!machine.confirmed) return "unconfirmed";
   if (machine.outbound_partition_since) return "not_reporting";
   if (!core::is_reachable(machine)) return "out_of_reach";
+  if (ended_attempts.is_settling(machine.id)) return "delayed_start";
   if (machine.draining) return "clearing";
   if (!machine.reserved_for.empty() && machine.reserved_for != job) return "reserved_for_a_gang";
   return nullptr;
@@ -71,7 +73,9 @@
       : job_(job), now_(now), explanation_(explanation), solver_job_(solver_job(job)) {}
 
   Situation build(const core::Controller& controller, const std::vector<core::Team>& teams) {
-    for (const auto& [id, machine] : controller.fleet().all()) add_machine(machine);
+    for (const auto& [id, machine] : controller.fleet().all())
+      add_machine(machine, controller.ended_attempts());
+    team_use_ += room(controller.ended_attempts().use_of(solver_job_.team));
     for (const auto& team : teams)
       if (team.name == solver_job_.team) set_team(team);
     // A gang that waits has nothing on machines that counts: what is left is being stopped.
@@ -106,8 +110,8 @@
     return use;
   }
 
-  void add_machine(const core::Machine& machine) {
-    const auto* cause = set_aside_cause(machine, job_.spec().id);
+  void add_machine(const core::Machine& machine, const core::EndedAttempts& ended_attempts) {
+    const auto* cause = set_aside_cause(machine, job_.spec().id, ended_attempts);
     const bool set_aside = cause != nullptr;
     if (set_aside) ++explanation_.set_aside[cause];
     const auto use = use_of(machine, set_aside);
@@ -212,6 +216,24 @@
   return names;
 }
 
+// Tasks that wait for the return of a machine, and what such machines keep of the team's limit.
+void add_delayed_start_causes(PlacementExplanation& out, const core::EndedAttempts& ended_attempts,
+                              const core::JobSpec& spec) {
+  const auto [first, last] = ended_attempts.of_job(spec.id);
+  const auto held = std::count_if(
+      first, last, [](const auto& entry) { return entry.second.task == core::EndedTask::held; });
+  if (held > 0)
+    out.causes.push_back(
+        {"delayed_start", std::to_string(held) +
+                              " of its tasks ended on machines where a delayed start may run them "
+                              "again: they start elsewhere once these machines are returned"});
+  const auto use = ended_attempts.use_of(spec.team);
+  if (out.waiting > 0 && (use.cpus > 0 || use.gpus > 0))
+    out.causes.push_back({"ended_attempts",
+                          "its team's limit also counts tasks that have ended and that a delayed "
+                          "start may run again"});
+}
+
 void add_capacity_causes(PlacementExplanation& out, Situation& situation) {
   const auto alone = reasons_in(situation.empty);
   out.impossible = alone.impossible;
@@ -237,6 +259,7 @@
   const auto& job = found->second;
   auto out = counts_of(job);
   if (job.finishing) out.causes.push_back({"ending", "all is done, the end is being written"});
+  add_delayed_start_causes(out, controller.ended_attempts(), job.spec());
   if (out.waiting == 0) return out;
   out.rentable_types = types_that_fit(job.spec(), types);
   if (controller.recovering())
--- a/src/history/records.hpp
+++ b/src/history/records.hpp
@@ -120,10 +120,24 @@
 
 using SnapshotPiece = std::variant<SnapshotHeader, SnapshotSlice, SnapshotEnd>;
 
+/// Whether snapshots omit the part while it is empty, as versions did that had no such part.
+template <class Part>
+inline constexpr bool is_omittable = requires {
+  Part::kOmittedWhenEmpty;
+};
+/// Whether a snapshot holds the part as it is now.
+template <class Part>
+bool is_stored(const Part& part) {
+  if constexpr (is_omittable<Part>)
+    return !part.empty();
+  else
+    return true;
+}
+
 /// The core's state, part by part (name, bytes) in the order of `Controller::each_part`.
 using Parts = std::vector<std::pair<std::string, std::string>>;
 Parts parts_of(const core::Controller& controller);
-/// Throws DecodeError if a part is missing or cannot be read.
+/// Throws DecodeError if a part is missing that is always stored, or cannot be read.
 void restore_parts(core::Controller& controller, const Parts& parts);
 std::uint64_t digest_of(const Parts& parts);
 
--- a/src/history/state_capture.cpp
+++ b/src/history/state_capture.cpp
@@ -27,6 +27,7 @@
 
 StateCapture::StateCapture(core::Controller& controller) : controller_(controller) {
   const auto plan = [&]<typename Part>(const char* name, const Part& part) {
+    if (!is_stored(part)) return;
     Plan plan{name, {}, {}, Plan::Kind::whole};
     // The first field is the table; what follows it is small and is written now.
     const auto split = [&](const auto& table, const auto&... rest) {
--- a/src/leader/action_executor.cpp
+++ b/src/leader/action_executor.cpp
@@ -169,4 +169,16 @@
                action.job, action.machines, action.pause.count());
 }
 
+void ActionExecutor::execute(const core::TaskHeld& action) {
+  spdlog::info(
+      "task {}/{} is held: attempt {} has ended on machine {}, where a delayed start may run it "
+      "again; the return of the machine is requested within {:.0f} s",
+      action.task.job, action.task.index, action.attempt, action.machine, action.at_most.count());
+}
+
+void ActionExecutor::execute(const core::MachineLostTasks& action) {
+  spdlog::warn("machine {} has lost {} running tasks in epoch {}: it was restarted", action.machine,
+               action.tasks, action.epoch);
+}
+
 }  // namespace violetpulley
--- a/tests/core/machines/failure_detector_test.cpp
+++ b/tests/core/machines/failure_detector_test.cpp
@@ -162,9 +162,12 @@
   EXPECT_EQ(first->second.tasks.begin()->second.attempt, attempt);
 }
 
-// Found by seed 3130 of Hunted (quota): the task has ended on the machine and runs elsewhere, the
-// agent has lost its tasks without a new epoch, and then the delayed start arrives. See
-// KNOWN-RED.txt.
+// A task ends on a machine whose start was never answered, and runs elsewhere. Then the machine is
+// back without its tasks in the same epoch, and the delayed start runs the ended attempt beside the
+// new one (ran_twice, quota). The agent's memory of the attempt was the only guard against a
+// repeated start, and it is lost with the tasks; the task is held now until the machine is returned
+// or has a new epoch. Shown by seed 3130 of CorrelatedFaults (docs/incidents/seed-3130.md); further
+// cases are in ended_attempts_test.cpp.
 TEST_F(FailureDetectorTest, ADelayedStartRunsNothingTwiceOnAMachineThatLostItsTasks) {
   begin(2, 0);
   run(Seconds(2));
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -23,6 +23,8 @@
   void operator()(const ScaleIn& request) const { cloud.execute(leader, request); }
   void operator()(const Resign& resign) const { leaders.resign(token, resign.isolated); }
   void operator()(const JobSuspected&) const {}
+  void operator()(const TaskHeld&) const {}
+  void operator()(const MachineLostTasks&) const {}
   template <class Write>
   void operator()(const Write& write) const {
     writer.execute(token, write);
