--- a/tests/core/scheduling/gangs_and_services_test.cpp
+++ b/tests/core/scheduling/gangs_and_services_test.cpp
@@ -59,6 +59,11 @@
     auto& tasks = agents_.at(id).tasks;
     return tasks.empty() ? nullptr : &tasks.back();
   }
+  /// The machine has lost its last task, and lists it no more.
+  void forget_task(const MachineId& id) {
+    agents_.at(id).tasks.pop_back();
+    heartbeat(id);
+  }
   void end(const MachineId& id, const JobId& job) {
     for (auto& entry : agents_.at(id).tasks)
       if (entry.task.job == job) entry.state = TaskState::exited, entry.cause = ExitCause::done;
@@ -189,6 +194,25 @@
   EXPECT_EQ(again[0].attempt, again[1].attempt);
 }
 
+// The tasks of a gang share one attempt. A task that its machine lists no more went unnoticed as
+// long as another task of the gang was listed there: the rest of the gang was never stopped, and
+// the task counted as running for ever. Found by reading.
+TEST(Gang, ATaskThatVanishesBesideAnotherOfTheSameGangIsNoticed) {
+  TestCluster cluster({"a"});
+  cluster.submit(TestCluster::spec(Shape::gang, 2, kQuarter));
+  cluster.machine("m1", "a");
+  cluster.run(Seconds(1));
+  ASSERT_EQ(cluster.commands(CommandType::start).size(), 2U);
+  cluster.all(TaskState::running);
+  cluster.run(Seconds(3));
+  cluster.forget_commands();
+  cluster.forget_task("m1");
+  cluster.run(Seconds(3));
+  const auto stops = cluster.commands(CommandType::stop);
+  ASSERT_FALSE(stops.empty()) << "the other task waits for the one that is gone";
+  EXPECT_EQ(stops[0].task.index, 0U);
+}
+
 TEST(Gang, IsRequestedAsOneGroupInOneZone) {
   TestCluster cluster({"a", "b", "c"});
   auto spec = TestCluster::spec(Shape::gang, 8, kWhole);
