Tasks that a machine lists no more are compared by task and attempt

Symptom: a gang task that vanished from its machine's list beside another task of the same gang counted as running for ever, and the rest of the gang was not stopped. Cause: the list was searched by attempt, which all tasks of a gang share.

--- a/src/core/failover/heartbeat_handler.cpp
+++ b/src/core/failover/heartbeat_handler.cpp
@@ -115,12 +115,14 @@
 void HeartbeatHandler::remove_missing_tasks(Machine& machine,
                                             const std::vector<TaskStatus>& statuses,
                                             TimePoint now) {
-  std::vector<Attempt> listed;  // an attempt is of one task, or of one gang
-  for (const auto& status : statuses) listed.push_back(status.attempt);
+  // The tasks of a gang share their attempt.
+  std::vector<std::pair<Attempt, TaskKey>> listed;
+  for (const auto& status : statuses) listed.emplace_back(status.attempt, status.task);
   std::sort(listed.begin(), listed.end());
   std::vector<TaskKey> missing;
   for (const auto& [key, assignment] : machine.tasks)
-    if (assignment.seen && !std::binary_search(listed.begin(), listed.end(), assignment.attempt))
+    if (assignment.seen &&
+        !std::binary_search(listed.begin(), listed.end(), std::pair(assignment.attempt, key)))
       missing.push_back(key);
   if (missing.empty()) return;
   out_.push_back(MachineLostTasks{machine.id, machine.epoch, missing.size()});
