--- a/tests/golden/golden_history_test.cpp
+++ b/tests/golden/golden_history_test.cpp
@@ -206,7 +206,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Golden, GoldenHistory,
-                         ::testing::Values("history-unsigned", "history-signed"),
+                         ::testing::Values("history-unsigned", "history-signed",
+                                           "history-ended-attempts-unsigned",
+                                           "history-ended-attempts-signed"),
                          [](const auto& info) {
                            const std::string prefix =
                                info.param.find("ended") == std::string::npos ? "" : "EndedAttempts";
