A suspected job whose task has run for 30 s is suspected no more

Cause: suspicion ended only with a task that was done, which a replica never is, and a long task of an array only late.

--- a/src/core/scheduling/scheduler.cpp
+++ b/src/core/scheduling/scheduler.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/jobs/each_assignment.hpp"
+
 namespace violetpulley::core {
 
 namespace {
@@ -26,6 +28,10 @@
 /// At 0.3, which also changed arrays of 30 s and more, vinsamlag fell from 0.693 to 0.643.
 constexpr double kFetchWorthWaiting = 0.05;
 
+/// A task of a suspected job that has run for so long shows that the job was not submitted with a
+/// mistake. With the longest of the other waits it is over within 90 s.
+constexpr Seconds kHealthyRun{30};
+
 /// Above any task's need, in each dimension.
 constexpr double kNoNeed = 1e18;
 
@@ -70,6 +76,7 @@
   starvation_guard_.new_round();
   scarcity_.note_jobs();
   const auto queue = candidate_queue_.build(now);
+  clear_suspicions(queue, now);
   scarcity_.note_exclusive_demand(
       std::any_of(queue.begin(), queue.end(),
                   [&](const Candidate& candidate) { return needs_exclusive_type(candidate); }));
@@ -90,6 +97,25 @@
   scale_out(queue, now);
 }
 
+void Scheduler::clear_suspicions(const Queue& queue, TimePoint now) {
+  for (const auto& candidate : queue) {
+    auto& job = *candidate.job;
+    if (!job.suspected || !has_healthy_task(job, now)) continue;
+    jobs_.before_change(job);
+    job.suspected = false;
+  }
+}
+
+bool Scheduler::has_healthy_task(const Job& job, TimePoint now) const {
+  if (job.waiting.size() == job.tasks.size()) return false;
+  bool healthy = false;
+  each_on_machines(fleet_, job, [&](const Machine&, const TaskKey&, const Assignment& assignment) {
+    healthy = healthy || (assignment.running_since &&
+                          now - *assignment.running_since >= to_duration(kHealthyRun));
+  });
+  return healthy;
+}
+
 bool Scheduler::needs_exclusive_type(const Candidate& candidate) const {
   const auto& need = candidate.job->spec().per_task;
   return std::any_of(catalog_.types().begin(), catalog_.types().end(),
--- a/src/core/scheduling/scheduler.hpp
+++ b/src/core/scheduling/scheduler.hpp
@@ -29,6 +29,7 @@
         out_(out),
         catalog_(catalog),
         fleet_(fleet),
+        jobs_(jobs),
         recovery_(recovery),
         reconciler_(reconciler),
         commands_(commands),
@@ -70,6 +71,9 @@
   using Queue = std::vector<Candidate>;
 
   void place(TimePoint now);
+  /// Ends the suspicion of jobs of which a task runs on: they were not submitted with a mistake.
+  void clear_suspicions(const Queue& queue, TimePoint now);
+  bool has_healthy_task(const Job& job, TimePoint now) const;
   std::vector<Machine*> schedulable_machines(const Queue& queue, const Resources& smallest_need,
                                              TimePoint now);
   void note_free_slots(const Queue& queue, const Resources& smallest_need,
@@ -101,6 +105,7 @@
   Outbox& out_;
   const Catalog& catalog_;
   Fleet& fleet_;
+  Jobs& jobs_;
   Recovery& recovery_;
   Reconciler& reconciler_;
   const CommandDispatcher& commands_;
