--- a/src/leader/action_executor.hpp
+++ b/src/leader/action_executor.hpp
@@ -57,9 +57,9 @@
   void execute(const core::Resign& action);
   void execute(const core::SavePlacements& action);
   void execute(const core::MarkPlacements& action);
-  static void execute(const core::JobSuspected& action);
-  static void execute(const core::TaskHeld& action);
-  static void execute(const core::MachineLostTasks& action);
+  void execute(const core::JobSuspected& action);
+  void execute(const core::TaskHeld& action);
+  void execute(const core::MachineLostTasks& action);
 
   void finish_answered(const core::FinishJob& action, const store::TransactionResult& result);
   void erase_progress(const core::JobId& job, const std::vector<core::TaskIndex>& chunks);
--- a/tests/simulation/diagnosis.cpp
+++ b/tests/simulation/diagnosis.cpp
@@ -77,8 +77,7 @@
   const auto& spec = facts_.specs.at(key.job);
   std::ostringstream text;
   text << key.job << "/" << key.index << (spec.shape == Shape::service ? " (service)" : "")
-       << " of team " << spec.team << " at "
-       << seconds_since(*environment_.faults_ended()) << " s";
+       << " of team " << spec.team << " at " << seconds_since(*environment_.faults_ended()) << " s";
   if (leaders_.current() == nullptr) return text.str() + ", no leader";
   const auto& jobs = leaders_.current()->controller->jobs();
   const auto job = jobs.find(key.job);
