Tests of the guards that a mutation passed: settled machines, zones, memory, a done task alone

Eleven mutations of the guards of ended attempts on a scratch copy; four passed all tests (settled machines take tasks; not cancelled with its job; not settled for zones; nor for a full memory) and fail one of these four tests each now.

--- a/tests/core/machines/ended_attempts_test.cpp
+++ b/tests/core/machines/ended_attempts_test.cpp
@@ -246,5 +246,63 @@
   EXPECT_TRUE(returned_.contains(first->first));
 }
 
+// The machine of the done task runs nothing else of the cancelled job.
+TEST_F(EndedAttempts, ADoneTaskIsSettledAlsoWhereNothingOfItsCancelledJobRuns) {
+  begin(3, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 5));
+  const auto alone = std::find_if(agents_.begin(), agents_.end(),
+                                  [](const auto& entry) { return entry.second.tasks.size() == 1; });
+  ASSERT_NE(alone, agents_.end());
+  const auto task = alone->second.tasks.begin()->first;
+  const auto delayed = end_task(alone->second, task);
+  run(Seconds(4));
+  controller_->job_closed("req-1", now_);
+  run(times_.lease * 0.6);
+  forget_and_deliver(alone->second, {delayed});
+  EXPECT_EQ(copies_of(task), 0U) << "ran_cancelled";
+}
+
+TEST_F(EndedAttempts, NothingStartsOnAMachineThatIsSettled) {
+  begin(2, 0);
+  run(Seconds(2));
+  start_without_responses(job("req-1", 4));
+  const auto settled = machine_of({"req-1", 0})->first;
+  end_task(agents_[settled], {"req-1", 0}, true);
+  run(Seconds(4));
+  starts_sent_.clear();
+  controller_->job_opened(job("req-2", 8), now_);
+  run(Seconds(8));
+  ASSERT_FALSE(returned_.contains(settled)) << "its other tasks have some time left";
+  EXPECT_EQ(starts_sent_[settled], 0);
+  EXPECT_GT(running(), 3U) << "the other machine is used";
+}
+
+// A delayed start would pin the zone of the job's waiting tasks, so the machine is returned.
+TEST_F(EndedAttempts, AJobBoundToOneZoneDoesNotWaitForAZoneThatADoneTaskDecides) {
+  begin(2, 0);
+  run(Seconds(2));
+  auto bound = job("req-1", 10);
+  bound.spec.same_zone = true;
+  start_without_responses(bound);
+  ASSERT_EQ(running(), 8U);
+  const auto first = machine_of({"req-1", 0})->first;
+  end_task(agents_[first], {"req-1", 0});
+  run(heartbeat_interval_ + times_.lease / 2 + Seconds(2));
+  EXPECT_TRUE(returned_.contains(first)) << release_causes_;
+}
+
+// Each attempt in doubt stays in the agent's memory and in every heartbeat.
+TEST_F(EndedAttempts, AMachineWithTooManyAttemptsInDoubtIsReturned) {
+  begin(1, 0);
+  run(Seconds(2));
+  auto small = job("req-1", 240);
+  small.spec.per_task = {0.05, 0, 0.05};
+  start_without_responses(small);
+  ASSERT_EQ(running(), 240U);
+  run(times_.lease / 2 + Seconds(2));
+  EXPECT_EQ(returned_.size(), 1U) << release_causes_;
+}
+
 }  // namespace
 }  // namespace violetpulley::core
