Heartbeats are searched for missing tasks without copies of their keys

Read again: comparing tasks by attempt and key copied every key of every heartbeat, in the leader's hottest path. The list holds views now; order and result are the same.

--- a/src/core/failover/heartbeat_handler.cpp
+++ b/src/core/failover/heartbeat_handler.cpp
@@ -3,6 +3,7 @@
 #include "core/failover/heartbeat_handler.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 namespace violetpulley::core {
 
@@ -13,6 +14,17 @@
 constexpr milliseconds kQueryRetry{100};           // after the first query without a response
 constexpr milliseconds kUnconfirmedRetry{50};      // after a response without our token
 constexpr milliseconds kPendingCommandRetry{500};  // commands that the response did not settle
+
+// An attempt of a task in a heartbeat, without a copy of the task's key: each heartbeat sorts them.
+// The tasks of a gang share their attempt.
+struct ListedAttempt {
+  Attempt attempt;
+  std::string_view job;
+  TaskIndex index;
+
+  ListedAttempt(Attempt of, const TaskKey& task) : attempt(of), job(task.job), index(task.index) {}
+  friend auto operator<=>(const ListedAttempt&, const ListedAttempt&) = default;
+};
 }  // namespace
 
 void HeartbeatHandler::handle(const Heartbeat& heartbeat, HeartbeatSource source, TimePoint now) {
@@ -115,14 +127,13 @@
 void HeartbeatHandler::remove_missing_tasks(Machine& machine,
                                             const std::vector<TaskStatus>& statuses,
                                             TimePoint now) {
-  // The tasks of a gang share their attempt.
-  std::vector<std::pair<Attempt, TaskKey>> listed;
+  std::vector<ListedAttempt> listed;
   for (const auto& status : statuses) listed.emplace_back(status.attempt, status.task);
   std::sort(listed.begin(), listed.end());
   std::vector<TaskKey> missing;
   for (const auto& [key, assignment] : machine.tasks)
     if (assignment.seen &&
-        !std::binary_search(listed.begin(), listed.end(), std::pair(assignment.attempt, key)))
+        !std::binary_search(listed.begin(), listed.end(), ListedAttempt(assignment.attempt, key)))
       missing.push_back(key);
   if (missing.empty()) return;
   out_.push_back(MachineLostTasks{machine.id, machine.epoch, missing.size()});
