--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -18,8 +18,10 @@
   site.run_until(8);
   // Every machine gets the image, as after some time of work.
   site.users.submit(Users::array("req-000001", 3, 40, 1), 1, 0);
-  if (!site.wait_for(30, [&] { return site.jobs.all.at("req-000001").done_told_at >= 0 ||
-                                      (site.users.poll("req-000001", 1), false); })) {
+  if (!site.wait_for(30, [&] {
+        return site.jobs.all.at("req-000001").done_told_at >= 0 ||
+               (site.users.poll("req-000001", 1), false);
+      })) {
     world.log("the first job did not end");
     return 2;
   }
@@ -34,7 +36,11 @@
       if (worker->runs("req-000002")) return worker;
     return nullptr;
   };
-  if (!site.wait_for(15, [&] { first = machine_of(); return first != nullptr; })) return 2;
+  if (!site.wait_for(15, [&] {
+        first = machine_of();
+        return first != nullptr;
+      }))
+    return 2;
   first->on_report = [&](const Json& report) {
     for (const auto& cut : report.at("cuts"))
       if (cut.at("cut") == task && cut.at("status") == "running") old_report = report;
@@ -58,8 +64,8 @@
     const auto deliver = [&](const Json& request) {
       if (delivered || request.at("baton").get<std::uint64_t>() <= token) return;
       delivered = true;
-      const auto node = site.nodes.index_of(
-          site.state.leader_of(request.at("baton").get<std::uint64_t>()));
+      const auto node =
+          site.nodes.index_of(site.state.leader_of(request.at("baton").get<std::uint64_t>()));
       world.log("the old report of " + first->id() + " arrives at node " + std::to_string(node) +
                 ": " + old_report.dump());
       site.users.ask(node, "POST", "/agent/beat", old_report.dump(), 4,
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -32,9 +32,12 @@
   }
   site.run_until(world.now() + 2);
   // Ordinary jobs that fit on the empty machine.
-  for (const auto* id : {"req-000003", "req-000004"}) site.users.submit(Users::array(id, 1, 30, 3), 3, 2);
-  if (!site.wait_for(10, [&] { return site.jobs.all.at("req-000003").accepted_at >= 0 &&
-                                      site.jobs.all.at("req-000004").accepted_at >= 0; }))
+  for (const auto* id : {"req-000003", "req-000004"})
+    site.users.submit(Users::array(id, 1, 30, 3), 3, 2);
+  if (!site.wait_for(10, [&] {
+        return site.jobs.all.at("req-000003").accepted_at >= 0 &&
+               site.jobs.all.at("req-000004").accepted_at >= 0;
+      }))
     return 2;
   const double end = world.now() + kMostWait + 1;
   double room_since = world.now();
@@ -50,7 +53,8 @@
       const auto& job = site.jobs.all.at(id);
       const double waits = (job.started_at < 0 ? world.now() : job.started_at) - job.accepted_at;
       worst = std::max(worst, waits);
-      if (job.started_at >= 0 || waits < kMostWait || world.now() - room_since < kMostWait) continue;
+      if (job.started_at >= 0 || waits < kMostWait || world.now() - room_since < kMostWait)
+        continue;
       broken = true;
       world.broken("left_waiting", std::string(id) + " has waited " + std::to_string(waits) +
                                        " s, and a machine that fits has been empty for " +
--- a/review/standins/site.hpp
+++ b/review/standins/site.hpp
@@ -122,10 +122,10 @@
 class StateService {
  public:
   struct Faults {
-    bool refuse = false;        ///< 503; leases that are not extended expire
-    bool hold = false;          ///< requests wait, and are carried out in order at the end
-    double late_share = 0;      ///< share of transactions carried out 2 to 12 s late, unanswered
-    double lost_share = 0;      ///< share of transactions carried out at once, unanswered
+    bool refuse = false;    ///< 503; leases that are not extended expire
+    bool hold = false;      ///< requests wait, and are carried out in order at the end
+    double late_share = 0;  ///< share of transactions carried out 2 to 12 s late, unanswered
+    double lost_share = 0;  ///< share of transactions carried out at once, unanswered
     double slow_factor = 1;
   };
 
@@ -133,7 +133,8 @@
       : world_(world), settings_(settings), faults_(nodes), held_(nodes) {
     for (std::size_t node = 0; node < nodes; ++node)
       servers_.push_back(std::make_unique<HttpServer>(
-          world.io, any_port(), limits(), [this, node](Request&& request, const Responder& respond) {
+          world.io, any_port(), limits(),
+          [this, node](Request&& request, const Responder& respond) {
             receive(node, request, [respond](Response response) { respond(std::move(response)); });
           }));
     request_level_ = settings.state_rps;
@@ -276,7 +277,9 @@
 
   void expire_leases() {
     if (outage_) {
-      world_.after(0.2, [this] { if (!outage_) expire_leases(); });
+      world_.after(0.2, [this] {
+        if (!outage_) expire_leases();
+      });
       return;
     }
     std::vector<std::uint64_t> ended;
@@ -386,10 +389,11 @@
         break;
       }
       bytes += size;
-      rows.push_back({{"k", entry->first}, {"v", entry->second.value},
-                      {"stamp", entry->second.revision}});
+      rows.push_back(
+          {{"k", entry->first}, {"v", entry->second.value}, {"stamp", entry->second.revision}});
     }
-    respond({200, Json{{"rows", rows}, {"truncated", truncated}, {"ledger", revision_}}.dump(), {}});
+    respond(
+        {200, Json{{"rows", rows}, {"truncated", truncated}, {"ledger", revision_}}.dump(), {}});
   }
 
   bool send_changes(const std::string& prefix, std::uint64_t since, bool even_if_empty,
@@ -518,10 +522,9 @@
       const auto& job = all.at(job_of(task));
       if (job.cancelled_at < 0 || world_.now() <= job.cancelled_at + settings_.cancel_s) continue;
       if (!reported_.insert(task).second) continue;
-      world_.broken("ran_cancelled",
-                    task + " is on " + *places.begin() + " " +
-                        std::to_string(world_.now() - job.cancelled_at) +
-                        " s after its cancellation was confirmed");
+      world_.broken("ran_cancelled", task + " is on " + *places.begin() + " " +
+                                         std::to_string(world_.now() - job.cancelled_at) +
+                                         " s after its cancellation was confirmed");
     }
   }
   std::size_t on_machines(const std::string& job) const {
@@ -553,15 +556,15 @@
  public:
   /// Disruptions of this machine.
   struct Faults {
-    bool hang = false;  ///< does nothing, and goes on later
-    bool deaf = false;  ///< its reports arrive; answers and commands to it are lost
-    bool mute = false;  ///< its reports reach no controller; commands reach it
+    bool hang = false;                ///< does nothing, and goes on later
+    bool deaf = false;                ///< its reports arrive; answers and commands to it are lost
+    bool mute = false;                ///< its reports reach no controller; commands reach it
     std::set<std::size_t> cut_nodes;  ///< controllers to and from which nothing arrives
     bool hold = false;                ///< commands of cut controllers arrive at the end of the cut
-    double late_commands = 0;  ///< share of commands carried out 2 to 16 s late, unanswered
-    double late_reports = 0;   ///< share of reports of which a copy arrives 2 to 60 s later
-    double answer_delay_s = 0;  ///< how long the answer to a command request is on its way
-    double held_orders_s = 0;   ///< commands are carried out that late, unanswered
+    double late_commands = 0;         ///< share of commands carried out 2 to 16 s late, unanswered
+    double late_reports = 0;          ///< share of reports of which a copy arrives 2 to 60 s later
+    double answer_delay_s = 0;        ///< how long the answer to a command request is on its way
+    double held_orders_s = 0;         ///< commands are carried out that late, unanswered
   };
   /// Called with each report that is sent, and with each command request before it is handled.
   std::function<void(const Json& report)> on_report;
@@ -571,16 +574,22 @@
 
   Worker(World& world, const Settings& settings, Nodes& nodes, Jobs& jobs, StateService& state,
          std::string id)
-      : world_(world), settings_(settings), nodes_(nodes), jobs_(jobs), state_(state),
+      : world_(world),
+        settings_(settings),
+        nodes_(nodes),
+        jobs_(jobs),
+        state_(state),
         id_(std::move(id)),
-        server_(world.io, any_port(), limits(),
-                [this](Request&& request, const Responder& respond) { command(request, respond); }) {
+        server_(
+            world.io, any_port(), limits(),
+            [this](Request&& request, const Responder& respond) { command(request, respond); }) {
     endpoint_ = violetpulley::net::text_of(server_.local_endpoint());
     session_began_ = world_.now();
     node_ = world_.random() % nodes_.names.size();
   }
   void start() {
     world_.log("machine " + id_ + " is up");
+    session_began_ = last_tick_ = world_.now();
     tick();
   }
   /// The machine is returned or dies.
@@ -638,8 +647,8 @@
 
   void tick() {
     if (gone_) return;
-    // A machine that hangs for longer than its lease ends its tasks before anything else: they never
-    // run again.
+    // A machine that hangs for longer than its lease ends its tasks before anything else: they
+    // never run again.
     if (faults.hang) check_lease();
     if (!faults.hang) {
       const double elapsed = world_.now() - last_tick_;
@@ -703,9 +712,16 @@
       if (!task.cause.empty()) item["cause"] = task.cause;
       cuts.push_back(std::move(item));
     }
-    return {{"rig", id_}, {"endpoint", endpoint()}, {"bench", settings_.bench},
-            {"district", settings_.zone}, {"loaners", zone_spot}, {"shift", session_},
-            {"tally", ++tally_}, {"baton", token_}, {"recall_s", nullptr}, {"cuts", cuts}};
+    return {{"rig", id_},
+            {"endpoint", endpoint()},
+            {"bench", settings_.bench},
+            {"district", settings_.zone},
+            {"loaners", zone_spot},
+            {"shift", session_},
+            {"tally", ++tally_},
+            {"baton", token_},
+            {"recall_s", nullptr},
+            {"cuts", cuts}};
   }
 
   void execute(const Json& orders) {
@@ -747,9 +763,9 @@
       return exit(key, task, "no_room");
     task.state = "fetching";
     const auto image = job->body.at("casket").get<std::string>();
-    task.fetch_left = images_.contains(image) ? 0
-                                              : job->body.at("image_gb").get<double>() /
-                                                    settings_.fetch_gb_per_s;
+    task.fetch_left = images_.contains(image)
+                          ? 0
+                          : job->body.at("image_gb").get<double>() / settings_.fetch_gb_per_s;
     task.run_left = job->run_s;
   }
 
@@ -900,10 +916,16 @@
 class Cloud {
  public:
   Cloud(World& world, const Settings& settings, Nodes& nodes, Jobs& jobs, StateService& state)
-      : world_(world), settings_(settings), nodes_(nodes), jobs_(jobs), state_(state),
-        server_(world.io, any_port(), limits(), [this](Request&& request, const Responder& respond) {
-          world_.after(world_.uniform(0.1, 0.3), [this, request, respond] { route(request, respond); });
-        }) {}
+      : world_(world),
+        settings_(settings),
+        nodes_(nodes),
+        jobs_(jobs),
+        state_(state),
+        server_(world.io, any_port(), limits(),
+                [this](Request&& request, const Responder& respond) {
+                  world_.after(world_.uniform(0.1, 0.3),
+                               [this, request, respond] { route(request, respond); });
+                }) {}
   std::string address() const { return violetpulley::net::text_of(server_.local_endpoint()); }
   void set_outage(bool on) {
     outage_ = on;
@@ -946,17 +968,16 @@
     if (path == "/catalog")
       return respond(
           {200,
-           Json{{"benches",
-                 Json::array({{{"label", settings_.bench},
-                               {"cores", settings_.cores},
-                               {"gpus", 0},
-                               {"memory_gb", settings_.memory_gb},
-                               {"local_gb", 40},
-                               {"fetch_gb_per_s", settings_.fetch_gb_per_s},
-                               {"rate", 3.72},
-                               {"spot_price", 1.15},
-                               {"ready_s", settings_.boot_s},
-                               {"districts", Json::array({settings_.zone})}}})}}
+           Json{{"benches", Json::array({{{"label", settings_.bench},
+                                          {"cores", settings_.cores},
+                                          {"gpus", 0},
+                                          {"memory_gb", settings_.memory_gb},
+                                          {"local_gb", 40},
+                                          {"fetch_gb_per_s", settings_.fetch_gb_per_s},
+                                          {"rate", 3.72},
+                                          {"spot_price", 1.15},
+                                          {"ready_s", settings_.boot_s},
+                                          {"districts", Json::array({settings_.zone})}}})}}
                .dump(),
            {}});
     if (path == "/rentals/release") {
@@ -970,9 +991,12 @@
     for (const auto& [id, machine] : rented_) {
       const double age = world_.now() - machine.at - settings_.list_lag_s;
       if (age < 0 || id <= since) continue;
-      rigs.push_back({{"id", id}, {"endpoint", machine.worker->endpoint()},
-                      {"bench", settings_.bench}, {"district", settings_.zone},
-                      {"loaners", machine.spot}, {"status", up.contains(id) ? "running" : "booting"},
+      rigs.push_back({{"id", id},
+                      {"endpoint", machine.worker->endpoint()},
+                      {"bench", settings_.bench},
+                      {"district", settings_.zone},
+                      {"loaners", machine.spot},
+                      {"status", up.contains(id) ? "running" : "booting"},
                       {"held_s", age}});
     }
     respond({200, Json{{"rigs", rigs}, {"truncated", false}}.dump(), {}});
@@ -982,7 +1006,8 @@
     if (const auto known = granted_.find(name); known != granted_.end())
       return respond({200, known->second, {}});
     Json ids = Json::array();
-    for (int i = 0; i < body.at("number").get<int>() && rented_.size() < settings_.max_machines; ++i)
+    for (int i = 0; i < body.at("number").get<int>() && rented_.size() < settings_.max_machines;
+         ++i)
       ids.push_back(add(body.at("loaners").get<bool>(),
                         settings_.boot_s * world_.uniform(boot_factor_low, boot_factor_high))
                         ->id());
@@ -1019,8 +1044,12 @@
  public:
   Controllers(World& world, const Settings& settings, Nodes& nodes, StateService& state,
               std::function<std::string()> cloud_address, std::string folder)
-      : world_(world), settings_(settings), nodes_(nodes), state_(state),
-        cloud_address_(std::move(cloud_address)), folder_(std::move(folder)) {
+      : world_(world),
+        settings_(settings),
+        nodes_(nodes),
+        state_(state),
+        cloud_address_(std::move(cloud_address)),
+        folder_(std::move(folder)) {
     std::vector<asio::ip::tcp::acceptor> taken;
     // Free ports below the range from which the system takes the ports of connections.
     std::mt19937 pick(std::random_device{}());
@@ -1181,19 +1210,34 @@
         world_.io, violetpulley::net::parse_endpoint(nodes_.public_addresses[node]), 1);
     client->request({method, target, body}, ms(timeout),
                     [client, done = std::move(done)](const std::optional<Response>& response) {
-                      done(response, response ? Json::parse(response->body, nullptr, false)
-                                              : Json());
+                      done(response,
+                           response ? Json::parse(response->body, nullptr, false) : Json());
                     });
   }
   std::size_t any_node() { return world_.random() % nodes_.names.size(); }
 
   static Json array(const std::string& id, int tasks, double cores, double estimate,
                     const std::string& image = "img-01") {
-    return {{"id", id}, {"lot", "tollur"}, {"owner", "sameign"}, {"shape", "array"},
-            {"urgency", "high"}, {"cuts", tasks}, {"cores", cores}, {"gpus", 0.0},
-            {"memory_gb", 1.4}, {"casket", image}, {"image_gb", 0.3}, {"benches", nullptr},
-            {"district", nullptr}, {"same_place", false}, {"spread", false}, {"loaners", true},
-            {"expect_s", estimate}, {"mark_s", 0.0}, {"stow_s", 0.0}, {"due_s", nullptr}};
+    return {{"id", id},
+            {"lot", "tollur"},
+            {"owner", "sameign"},
+            {"shape", "array"},
+            {"urgency", "high"},
+            {"cuts", tasks},
+            {"cores", cores},
+            {"gpus", 0.0},
+            {"memory_gb", 1.4},
+            {"casket", image},
+            {"image_gb", 0.3},
+            {"benches", nullptr},
+            {"district", nullptr},
+            {"same_place", false},
+            {"spread", false},
+            {"loaners", true},
+            {"expect_s", estimate},
+            {"mark_s", 0.0},
+            {"stow_s", 0.0},
+            {"due_s", nullptr}};
   }
 
   /// Submits the job and repeats the submission until it is accepted.
@@ -1219,7 +1263,8 @@
           }
           if (response && (response->status == 400 || response->status == 422)) {
             if (job.accepted_at >= 0 && job.accepted_at < asked)
-              world_.broken("forgotten", "a repeated submission of " + id + " gets " + text(response));
+              world_.broken("forgotten",
+                            "a repeated submission of " + id + " gets " + text(response));
             return;
           }
           world_.after(1, [this, id] { send_submission(id, any_node()); });
@@ -1306,9 +1351,13 @@
 /// A whole site.
 struct Site {
   Site(const std::string& record, const std::string& folder, Settings given = {})
-      : settings(std::move(given)), world(record), state(world, settings, 3), jobs(world, settings),
+      : settings(std::move(given)),
+        world(record),
+        state(world, settings, 3),
+        jobs(world, settings),
         cloud(world, settings, nodes, jobs, state),
-        controllers(world, settings, nodes, state, [this] { return cloud.address(); }, folder),
+        controllers(
+            world, settings, nodes, state, [this] { return cloud.address(); }, folder),
         users(world, settings, nodes, jobs) {}
   /// Runs until `second`, and checks the rules meanwhile.
   void run_until(double second) {
