--- a/tests/core/failover/reconciliation_test.cpp
+++ b/tests/core/failover/reconciliation_test.cpp
@@ -7,8 +7,6 @@
 namespace violetpulley::core {
 namespace {
 
-constexpr FencingToken kToken = LeaderAfterFailover::kToken;
-
 TEST(SocketBudget, HeartbeatsHavePriorityAndEveryShareKeepsAMinimum) {
   for (const std::size_t sockets : {100, 1000, 3494, 20'000})
     for (const std::size_t machines : {0, 50, 2112, 7000, 40'000}) {
