A copy of a task that a machine lists holds the task back until it is gone

Cause: a new leader adopts the first live copy of a task that a machine lists, also from a report that was sent before the failover. What a second machine listed of the same task was counted as a duplicate, ordered to stop and forgotten. When the next report of the first machine did not list the task any more, it was waiting, every machine had answered, and it started beside the copy, whose stop had not arrived.

Fix: core/machines/unassigned_copies keeps each copy that a trusted task list names without an assignment until a newer list, a grown epoch, the return of the machine or the end of its lease proves it gone, and Recovery lets no start of its task through until then. So what was ordered is not taken for what has happened, whatever made two machines list one task.

--- a/src/core/autoscaling/scale_out_planner.cpp
+++ b/src/core/autoscaling/scale_out_planner.cpp
@@ -57,7 +57,7 @@
   std::vector<TaskIndex> tasks;
   for (const auto index : job.waiting) {
     if (!need.fits_in(remaining_quota)) break;
-    if (task_starter_.blocked_on_reconciliation(job, index)) continue;
+    if (task_starter_.is_blocked(job, index)) continue;
     remaining_quota -= need;
     if (job.tasks[index].bound_to.empty()) tasks.push_back(index);
   }
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -12,7 +12,7 @@
       jobs_(out_),
       forecaster_(settings_, estimator_, now),
       failure_detector_(settings_, fleet_, now),
-      recovery_(out_, fleet_, former_leases_end, settings_.workers.lease),
+      recovery_(out_, fleet_, unassigned_copies_, former_leases_end, settings_.workers.lease),
       registry_(out_, fleet_),
       commands_(settings_.sockets, settings_.tuning.max_commands_in_flight, out_, fleet_, jobs_),
       assignments_(out_, fleet_, jobs_, recovery_, ended_attempts_),
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -148,6 +148,7 @@
     visit("standing", self.starvation_guard_);
     visit("placing", self.scheduler_);
     visit("ended attempts", self.ended_attempts_);
+    visit("unassigned copies", self.unassigned_copies_);
   }
 
  private:
@@ -165,6 +166,7 @@
   RunTimeEstimator estimator_;
   DeadlineForecaster forecaster_;
   FailureDetector failure_detector_;
+  UnassignedCopies unassigned_copies_;
   Recovery recovery_;
   MachineRegistry registry_;
   CommandDispatcher commands_;
--- a/src/core/dispatch/task_starter.cpp
+++ b/src/core/dispatch/task_starter.cpp
@@ -63,11 +63,12 @@
     const auto& task = job.tasks[index];
     // A task that is blocked on reconciliation may run on the machine in its placement record.
     const bool blocked = task.phase == Phase::waiting && job.placements_complete &&
-                         blocked_on_reconciliation(job, index);
+                         recovery_.blocked_on_reconciliation(job, index);
     if (task.phase != Phase::assigned && !blocked) continue;
     if (const auto* machine = fleet_.find(blocked ? job.placed_on[index] : task.machine))
       ++use[machine->zone];
   }
+  recovery_.add_zones_of_copies(job, use);
   // Held tasks are assigned to their machines and thus already counted above.
   const auto [first, last] = ended_attempts_.of_job(job.spec().id);
   for (auto entry = first; entry != last; ++entry)
@@ -81,7 +82,7 @@
                             TimePoint now) const {
   const auto& spec = job.spec();
   if (job.tasks[index].phase != Phase::waiting) return false;
-  if (blocked_on_reconciliation(job, index)) return false;
+  if (is_blocked(job, index)) return false;
   if (!machine.reserved_for.empty() && machine.reserved_for != spec.id) return false;
   if (!accepts_new_tasks(machine, now)) return false;
   if (!spec.per_task.fits_in(machine.free())) return false;
--- a/src/core/dispatch/task_starter.hpp
+++ b/src/core/dispatch/task_starter.hpp
@@ -46,12 +46,12 @@
   /// and changes nothing if a rule forbids the start.
   bool start(Job& job, TaskIndex index, Machine& machine, Attempt attempt, TimePoint now);
 
-  /// Whether the task may still be running on a machine on which a former leader started it.
-  bool blocked_on_reconciliation(const Job& job, TaskIndex index) const {
+  /// Whether the task may still be running on a machine, so that it must not start.
+  bool is_blocked(const Job& job, TaskIndex index) const {
     return recovery_.is_blocked(job, index);
   }
 
-  /// Number of waiting tasks that are not blocked on reconciliation.
+  /// Number of waiting tasks that are not blocked.
   TaskIndex startable_tasks(const Job& job) const {
     return static_cast<TaskIndex>(job.waiting.size() - recovery_.blocked_tasks(job));
   }
--- a/src/core/failover/assignments.cpp
+++ b/src/core/failover/assignments.cpp
@@ -81,7 +81,7 @@
   for (const auto& key : ended_attempts_.clear_machine(machine.id)) requeue(key);
   fleet_.before_change(machine);
   machine.task_statuses.clear();
-  recovery_.update_unknown_tasks(machine, now);
+  recovery_.clear_unassigned_copies(machine);
 }
 
 void Assignments::mark_running(Assignment& assignment, Job* job, TimePoint now) {
--- a/src/core/failover/heartbeat_handler.cpp
+++ b/src/core/failover/heartbeat_handler.cpp
@@ -51,10 +51,16 @@
     accept_reclaim_notice(machine, *heartbeat.notice, now);
   machine.task_statuses = heartbeat.tasks;
   remove_missing_tasks(machine, heartbeat.tasks, now);
-  for (const auto& status : heartbeat.tasks)
+  apply_statuses(machine, heartbeat.tasks, is_list_trusted, now);
+}
+
+void HeartbeatHandler::apply_statuses(Machine& machine, const std::vector<TaskStatus>& statuses,
+                                      bool is_list_trusted, TimePoint now) {
+  UnassignedCopies::OfMachine copies;
+  for (const auto& status : statuses)
     if (is_list_trusted || status.state == TaskState::exited)
-      update_assignment(machine, status, now);
-  if (is_list_trusted) recovery_.update_unknown_tasks(machine, now);
+      update_assignment(machine, status, copies, now);
+  if (is_list_trusted) recovery_.update_unassigned_copies(machine, std::move(copies), now);
 }
 
 Machine* HeartbeatHandler::find_or_add(const MachineId& id, TimePoint now) {
@@ -154,10 +160,10 @@
 }
 
 void HeartbeatHandler::update_assignment(Machine& machine, const TaskStatus& status,
-                                         TimePoint now) {
+                                         UnassignedCopies::OfMachine& copies, TimePoint now) {
   const auto found = machine.tasks.find(status.task);
   if (found == machine.tasks.end() || found->second.attempt != status.attempt)
-    return reconcile_unassigned_task(machine, status, now);
+    return reconcile_unassigned_task(machine, status, copies, now);
   auto& assignment = found->second;
   // The first listing shows that the start command has arrived.
   if (!assignment.reported) failure_detector_.record_acknowledgement(machine, now);
@@ -173,28 +179,40 @@
 }
 
 void HeartbeatHandler::reconcile_unassigned_task(Machine& machine, const TaskStatus& status,
+                                                 UnassignedCopies::OfMachine& copies,
                                                  TimePoint now) {
+  const bool is_live = status.state != TaskState::exited;
   const auto found = jobs_.find(status.task.job);
-  if (found == jobs_.end() || status.task.index >= found->second.tasks.size())
+  if (found == jobs_.end() || status.task.index >= found->second.tasks.size()) {
+    if (is_live) copies.emplace(status.task, CopyState::live);
     return reconciler_.count(&ReconciliationStats::unknown_job);
+  }
   auto& job = found->second;
   jobs_.before_change(job);
   const auto phase = job.tasks[status.task.index].phase;
-  if (status.state == TaskState::exited) {
-    if (status.cause == ExitCause::done && phase == Phase::waiting && !job.service()) {
-      reconciler_.count(&ReconciliationStats::done_unrecorded);
-      task_exits_.record_done(job, status.task.index);
-    }
-    return;
-  }
-  // CommandDispatcher::commands_for stops a copy that has no assignment.
-  if (phase != Phase::waiting)
+  if (!is_live) return reconcile_exited_task(job, status, copies);
+  // CommandDispatcher::commands_for stops a copy that has no assignment. Until it has ended, the
+  // task must not start again: the task's assignment may follow from a delayed heartbeat, and end
+  // with the machine's next heartbeat.
+  if (phase != Phase::waiting) {
+    copies.emplace(status.task, CopyState::live);
     return reconciler_.count(phase == Phase::done ? &ReconciliationStats::stored_done
                                                   : &ReconciliationStats::duplicate_copies);
+  }
   reconciler_.count(&ReconciliationStats::adopted);
   adopt_task(machine, job, status, now);
 }
 
+void HeartbeatHandler::reconcile_exited_task(Job& job, const TaskStatus& status,
+                                             UnassignedCopies::OfMachine& copies) {
+  if (status.cause != ExitCause::done || job.service()) return;
+  const auto phase = job.tasks[status.task.index].phase;
+  if (phase == Phase::assigned) copies.emplace(status.task, CopyState::done);
+  if (phase != Phase::waiting) return;
+  reconciler_.count(&ReconciliationStats::done_unrecorded);
+  task_exits_.record_done(job, status.task.index);
+}
+
 void HeartbeatHandler::adopt_task(Machine& machine, Job& job, const TaskStatus& status,
                                   TimePoint now) {
   auto assignment = assignment_of(job.spec(), status.attempt,
--- a/src/core/failover/heartbeat_handler.hpp
+++ b/src/core/failover/heartbeat_handler.hpp
@@ -65,11 +65,22 @@
                             TimePoint now);
   void remove_missing_task(Machine& machine, const TaskKey& key, TimePoint now);
 
-  /// Applies one task status to its assignment.
-  void update_assignment(Machine& machine, const TaskStatus& status, TimePoint now);
-  /// Handles a listed attempt without an assignment: adopts the task, records it as done, or counts
-  /// the difference and leaves the attempt to a stop command.
-  void reconcile_unassigned_task(Machine& machine, const TaskStatus& status, TimePoint now);
+  /// Applies the task list. `is_list_trusted`: false if only its exits may be applied.
+  void apply_statuses(Machine& machine, const std::vector<TaskStatus>& statuses,
+                      bool is_list_trusted, TimePoint now);
+  /// Applies one task status to its assignment. Adds the task to `copies` if the listed attempt is
+  /// left without an assignment.
+  void update_assignment(Machine& machine, const TaskStatus& status,
+                         UnassignedCopies::OfMachine& copies, TimePoint now);
+  /// Handles a listed attempt without an assignment: adopts the task or records it as done. If the
+  /// task is done, assigned elsewhere or unknown, counts the difference, adds the task to `copies`
+  /// and leaves the attempt to a stop command.
+  void reconcile_unassigned_task(Machine& machine, const TaskStatus& status,
+                                 UnassignedCopies::OfMachine& copies, TimePoint now);
+  /// Records a task as done that has exited without an assignment. If the task is assigned
+  /// elsewhere, adds it to `copies`: the agent lists the exit until the completion is recorded.
+  void reconcile_exited_task(Job& job, const TaskStatus& status,
+                             UnassignedCopies::OfMachine& copies);
   /// Creates the assignment of a task that a former leader started on this machine.
   void adopt_task(Machine& machine, Job& job, const TaskStatus& status, TimePoint now);
 
--- a/src/core/failover/recovery.cpp
+++ b/src/core/failover/recovery.cpp
@@ -19,8 +19,10 @@
   if (last_proven >= former_leases_end_)
     std::erase_if(unconfirmed_, [&](const MachineId& id) {
       const auto* machine = fleet_.find(id);
-      return machine == nullptr || !machine->last_heartbeat ||
-             last_proven - *machine->last_heartbeat > to_duration(full_lease());
+      const bool lease_expired = machine == nullptr || !machine->last_heartbeat ||
+                                 last_proven - *machine->last_heartbeat > to_duration(full_lease());
+      if (lease_expired) unassigned_copies_.clear_machine(id);
+      return lease_expired;
     });
   if (!unconfirmed_.empty()) return;
   recovering_ = false;
@@ -51,23 +53,39 @@
   return index < job.placed_on.size() && unconfirmed_.contains(job.placed_on[index]);
 }
 
-bool Recovery::is_blocked(const Job& job, TaskIndex index) const {
+bool Recovery::blocked_on_reconciliation(const Job& job, TaskIndex index) const {
   if (!recovering_ || !job.from_former_leader) return false;
   if (job.placements_complete && !job.gang()) return is_recorded_on_unconfirmed(job, index);
   return blocked_on_reconciliation(job);
 }
 
+bool Recovery::has_unassigned_copy(const Job& job, TaskIndex index) const {
+  if (unassigned_copies_.empty()) return false;
+  const auto& id = job.spec().id;
+  return job.gang() ? unassigned_copies_.contains_job(id)
+                    : unassigned_copies_.contains({id, index});
+}
+
+bool Recovery::is_blocked(const Job& job, TaskIndex index) const {
+  return has_unassigned_copy(job, index) || blocked_on_reconciliation(job, index);
+}
+
 std::size_t Recovery::blocked_tasks(const Job& job) const {
-  if (!recovering_ || !job.from_former_leader) return 0;
-  if (!job.placements_complete || job.gang())
-    return blocked_on_reconciliation(job) ? job.waiting.size() : 0;
+  const bool has_copies = unassigned_copies_.contains_job(job.spec().id);
+  const bool is_older_job = recovering_ && job.from_former_leader;
+  if (!has_copies && !is_older_job) return 0;
+  // Without placement records, and for a gang, the reconciliation blocks all tasks or none.
+  const bool blocked_alike = job.gang() || !job.placements_complete;
+  if (blocked_alike && (blocked_on_reconciliation(job) || (job.gang() && has_copies)))
+    return job.waiting.size();
+  if (blocked_alike && !has_copies) return 0;
   return static_cast<std::size_t>(
       std::count_if(job.waiting.begin(), job.waiting.end(),
                     [&](TaskIndex index) { return is_blocked(job, index); }));
 }
 
-// Counts the whole capacity of each machine that has not answered yet or that lists tasks of an
-// unknown job, as the team of such a job is unknown too.
+// Counts the whole capacity of each machine that has not answered yet or that lists live tasks
+// without an assignment, as their job and thus their team may be unknown.
 Resources Recovery::compute_possible_use() const {
   Resources total;
   for (const auto& [id, since] : unknown_tasks_since_)
@@ -79,15 +97,29 @@
   return total;
 }
 
-void Recovery::update_unknown_tasks(Machine& machine, TimePoint now) {
-  const bool has_unknown_task = std::any_of(
-      machine.task_statuses.begin(), machine.task_statuses.end(), [&](const TaskStatus& status) {
-        return status.state != TaskState::exited && !machine.tasks.contains(status.task);
-      });
-  if (has_unknown_task)
+void Recovery::update_unassigned_copies(const Machine& machine, UnassignedCopies::OfMachine copies,
+                                        TimePoint now) {
+  const bool has_live_copy = std::any_of(copies.begin(), copies.end(), [](const auto& copy) {
+    return copy.second == CopyState::live;
+  });
+  if (has_live_copy)
     unknown_tasks_since_.emplace(machine.id, now);
   else
     unknown_tasks_since_.erase(machine.id);
+  unassigned_copies_.replace(machine.id, std::move(copies));
+}
+
+void Recovery::clear_unassigned_copies(const Machine& machine) {
+  unknown_tasks_since_.erase(machine.id);
+  unassigned_copies_.clear_machine(machine.id);
+}
+
+void Recovery::add_zones_of_copies(const Job& job, std::map<std::string, TaskIndex>& use) const {
+  const auto [first, last] = unassigned_copies_.of_job(job.spec().id);
+  for (auto entry = first; entry != last; ++entry)
+    for (const auto& [id, state] : entry->second)
+      if (const auto* machine = fleet_.find(id); machine != nullptr && state == CopyState::live)
+        ++use[machine->zone];
 }
 
 void Recovery::refresh() {
--- a/src/core/failover/recovery.hpp
+++ b/src/core/failover/recovery.hpp
@@ -1,15 +1,16 @@
 /// @file
 /// Tracks what a new leader does not know yet: machines registered before its election that have
-/// not answered, and machines that list tasks of unknown jobs (docs/safety.md, "One copy of a
-/// task", 3, and "Limits and places"; docs/design.md: a new leader rebuilds its state from
-/// heartbeats before it places tasks). Owns both sets. Decides which tasks are blocked on
-/// reconciliation and which resources count as possibly in use.
+/// not answered, and machines that list tasks without an assignment (docs/safety.md, "One copy of a
+/// task", 3, "A copy without an assignment", and "Limits and places"; docs/design.md: a new leader
+/// rebuilds its state from heartbeats before it places tasks). Owns both sets. Decides which tasks
+/// may run somewhere and must not start, and which resources count as possibly in use.
 #pragma once
 
 #include <algorithm>
 #include <set>
 
 #include "core/jobs/job.hpp"
+#include "core/machines/unassigned_copies.hpp"
 #include "core/model/catalog.hpp"
 #include "core/outbox.hpp"
 
@@ -20,8 +21,13 @@
  public:
   /// `former_leases_end`: when the last lease that a former leader may have renewed expires.
   /// `lease`: lease time of an agent.
-  Recovery(Outbox& out, Fleet& fleet, TimePoint former_leases_end, Seconds lease)
-      : out_(out), fleet_(fleet), former_leases_end_(former_leases_end), lease_(lease) {}
+  Recovery(Outbox& out, Fleet& fleet, UnassignedCopies& unassigned_copies,
+           TimePoint former_leases_end, Seconds lease)
+      : out_(out),
+        fleet_(fleet),
+        unassigned_copies_(unassigned_copies),
+        former_leases_end_(former_leases_end),
+        lease_(lease) {}
 
   /// Records that no former leader answers heartbeats any more: every other controller has seen our
   /// leader key and reported that it does not lead. So the last lease that a former leader may have
@@ -50,16 +56,24 @@
   bool recovering() const { return recovering_; }
   /// Whether any waiting task of this job may be running on an unconfirmed machine.
   bool blocked_on_reconciliation(const Job& job) const;
-  /// Whether this waiting task may be running on an unconfirmed machine. The tasks of a gang start
-  /// together, so all of them are blocked if one is.
+  /// Whether this waiting task may be running on an unconfirmed machine.
+  bool blocked_on_reconciliation(const Job& job, TaskIndex index) const;
+  /// Whether this waiting task must not start: it may be running on an unconfirmed machine, or a
+  /// machine lists a copy of it. The tasks of a gang start together, so all of them are blocked if
+  /// one is.
   bool is_blocked(const Job& job, TaskIndex index) const;
-  /// Number of waiting tasks of the job that are blocked on reconciliation.
+  /// Number of waiting tasks of the job that must not start.
   std::size_t blocked_tasks(const Job& job) const;
 
-  /// Records whether the machine lists running tasks without an assignment.
-  void update_unknown_tasks(Machine& machine, TimePoint now);
-  /// Since when the machine has listed running tasks of jobs that are unknown here (ended, or
-  /// cancelled under a former leader); none if it lists no such task.
+  /// Records the copies without an assignment in the machine's newest task list.
+  void update_unassigned_copies(const Machine& machine, UnassignedCopies::OfMachine copies,
+                                TimePoint now);
+  /// Removes the copies on a machine that is gone or has ended its tasks.
+  void clear_unassigned_copies(const Machine& machine);
+  /// Adds the zones of the live copies of the job's tasks.
+  void add_zones_of_copies(const Job& job, std::map<std::string, TaskIndex>& use) const;
+  /// Since when the machine has listed live tasks without an assignment (of a job that has ended or
+  /// was cancelled, or copies of tasks that are assigned elsewhere); none if it lists no such task.
   std::optional<TimePoint> unknown_tasks_since(const MachineId& id) const {
     const auto found = unknown_tasks_since_.find(id);
     return found == unknown_tasks_since_.end() ? std::nullopt : std::optional(found->second);
@@ -82,10 +96,12 @@
   static constexpr Seconds kAnswerTravelTime{1};
 
   bool is_recorded_on_unconfirmed(const Job& job, TaskIndex index) const;
+  bool has_unassigned_copy(const Job& job, TaskIndex index) const;
   Resources compute_possible_use() const;
 
   Outbox& out_;
   Fleet& fleet_;
+  UnassignedCopies& unassigned_copies_;
   TimePoint former_leases_end_;
   Seconds lease_;
   bool recovering_ = true;
