Tests: what a listed completion does, and the golden bytes of the part unassigned copies

Two mutations of the guard had survived: a completion that counts in its zone, and one that is taken for a live copy. Each fails a test now.

--- a/tests/core/failover/unassigned_copies_test.cpp
+++ b/tests/core/failover/unassigned_copies_test.cpp
@@ -137,6 +137,31 @@
   EXPECT_GT(progress_saves(), 0U);
 }
 
+TEST_F(UnassignedCopiesTest, AnUnrecordedCompletionCountsInNoZone) {
+  zones_[kRunsOn] = zones_[kFree] = zones_[kMovedFrom] = "b";
+  auto record = job("req-1", 2);
+  record.spec.spread = true;
+  fail_over(record, 1, {later_exited(0, ExitCause::done)});
+  run_while_runs_on_is_silent(Seconds(2));
+  EXPECT_EQ(starts(), 1U) << "task 0 has left zone b";
+}
+
+// The task stays assigned to a silent machine, so its completion is not recorded meanwhile.
+TEST_F(UnassignedCopiesTest, AnUnrecordedCompletionReturnsNoMachine) {
+  tuning_.idle_wait = Seconds(1000);
+  start_leader({kFree, kMovedFrom, kRunsOn}, {job("req-1", 1)});
+  heartbeat(kMovedFrom, {earlier(0)}, kToken - 1);
+  last_heartbeats_.erase(kMovedFrom);
+  const auto most_of_a_lease = static_cast<int>(AgentTimes{}.lease.count() * 0.8);
+  for (int second = 0; second < most_of_a_lease; ++second) {
+    heartbeat(kFree, {});
+    heartbeat(kRunsOn, {later_exited(0, ExitCause::done)});
+    run(Seconds(1));
+  }
+  EXPECT_EQ(std::count(returned_.begin(), returned_.end(), kRunsOn), 0);
+  EXPECT_EQ(starts(), 0U);
+}
+
 // What ends the wait: a new epoch, the return of the machine, or the end of its lease.
 TEST_F(UnassignedCopiesTest, ANewAgentEpochEndsTheListedCopy) {
   fail_over(job("req-1", 1), 1, {later(0)});
--- a/tests/golden/golden_history_test.cpp
+++ b/tests/golden/golden_history_test.cpp
@@ -4,6 +4,7 @@
 /// decisions affected by a fault that has been fixed since. They must replay identically up to the
 /// last record before the first such decision and differ at exactly the record named in their
 /// agreement file.
+#include "core/machines/unassigned_copies.hpp"
 #include "golden/golden_files.hpp"
 #include "history/heartbeat_changes.hpp"
 #include "history/reader.hpp"
@@ -226,5 +227,21 @@
                            return prefix + (is_signed(info.param) ? "Signed" : "Unsigned");
                          });
 
+TEST(GoldenHistory, UnassignedCopiesDecodeAndEncodeAsInTheGoldenFile) {
+  for (const auto& item : cases_of("unassigned_copies.json")) {
+    std::map<core::MachineId, core::UnassignedCopies::OfMachine> by_machine;
+    for (const auto& copy : item.at("copies"))
+      by_machine[text_field(copy, "machine")].emplace(
+          core::TaskKey{text_field(copy, "job"), copy.at("index").get<core::TaskIndex>()},
+          copy.at("done").get<bool>() ? core::CopyState::done : core::CopyState::live);
+    core::UnassignedCopies copies;
+    for (const auto& [machine, of_machine] : by_machine) copies.replace(machine, of_machine);
+    EXPECT_EQ(pack_to_hex(copies), text_field(item, "part"));
+    const auto decoded = unpack_from_hex<core::UnassignedCopies>(item.at("part"));
+    EXPECT_EQ(pack_to_hex(decoded), text_field(item, "part"));
+    EXPECT_TRUE(decoded.contains({"req-2", 7}));
+  }
+}
+
 }  // namespace
 }  // namespace violetpulley::golden
