A gang that is done leaves no start behind that was never sent

Cause: when one task of a gang is done, all are, and each assignment was left to the exit that its agent reports. A start that was never sent (its machine had a command batch in flight) has none. job_closed passes over tasks that are done, so the assignment was never sent and never stopped, and counted against its machine and its team until the leader ended.

Fix: GangScheduler::complete_gang removes assignments whose start was surely not sent, and stops those whose start may still arrive. The same cause elsewhere: a done task that its machine has lost and whose start was once unanswered was started again; it counts as an ended attempt now.

--- a/src/core/dispatch/command_dispatcher.cpp
+++ b/src/core/dispatch/command_dispatcher.cpp
@@ -38,6 +38,11 @@
   return job.tasks[status.task.index].persisted;
 }
 
+bool CommandDispatcher::may_have_sent_start(const Machine& machine, const Assignment& assignment) {
+  return machine.in_doubt_attempts.contains(assignment.attempt) ||
+         machine.commands_sent_at >= assignment.placed;
+}
+
 bool CommandDispatcher::committed(const TaskKey& key, const Assignment& assignment) const {
   if (assignment.placement_version == 0) return true;
   const auto job = jobs_.find(key.job);
--- a/src/core/dispatch/command_dispatcher.hpp
+++ b/src/core/dispatch/command_dispatcher.hpp
@@ -64,6 +64,10 @@
   /// Whether the machine has, or may have, a task of a job that has ended or was cancelled.
   static bool holds_cancelled_task(const Machine& machine);
 
+  /// Whether the start of the assignment may have been sent: an earlier start of the attempt is in
+  /// doubt, or a command batch was sent since the task was placed.
+  static bool may_have_sent_start(const Machine& machine, const Assignment& assignment);
+
   /// Whether the placement record of the assignment is committed, so that its start may be sent.
   bool committed(const TaskKey& key, const Assignment& assignment) const;
 
--- a/src/core/failover/heartbeat_handler.cpp
+++ b/src/core/failover/heartbeat_handler.cpp
@@ -148,17 +148,24 @@
 
 void HeartbeatHandler::remove_missing_task(Machine& machine, const TaskKey& key, TimePoint now) {
   // A delayed start command may still reach the machine that has lost this task and run it again.
-  // So the same attempt is started there again, after which the delayed command has no effect.
+  // So the same attempt is started there again, after which the delayed command has no effect,
+  // unless the task is done: it must not start again.
+  const bool orphaned = machine.tasks.at(key).orphaned;
   if (machine.in_doubt_attempts.contains(machine.tasks.at(key).attempt)) {
-    assignments_.reset_to_unreported(machine, key, now);
-    return;
+    if (!orphaned && is_done(key)) return task_exits_.handle_loss_of_done_task(machine, key, now);
+    return assignments_.reset_to_unreported(machine, key, now);
   }
-  const bool orphaned = machine.tasks.at(key).orphaned;
   assignments_.drop(machine, key, now);
   if (!orphaned) assignments_.requeue(key);
   out_.request_scheduling_round();
 }
 
+// A job that is closed, and whose tasks were not orphaned, has completed.
+bool HeartbeatHandler::is_done(const TaskKey& key) const {
+  const auto found = jobs_.find(key.job);
+  return found == jobs_.end() || found->second.tasks[key.index].phase == Phase::done;
+}
+
 void HeartbeatHandler::update_assignment(Machine& machine, const TaskStatus& status,
                                          UnassignedCopies::OfMachine& copies, TimePoint now) {
   const auto found = machine.tasks.find(status.task);
@@ -190,7 +197,7 @@
   auto& job = found->second;
   jobs_.before_change(job);
   const auto phase = job.tasks[status.task.index].phase;
-  if (!is_live) return reconcile_exited_task(job, status, copies);
+  if (!is_live) return reconcile_exited_task(job, status, copies, now);
   // CommandDispatcher::commands_for stops a copy that has no assignment. Until it has ended, the
   // task must not start again: the task's assignment may follow from a delayed heartbeat, and end
   // with the machine's next heartbeat.
@@ -204,13 +211,13 @@
 }
 
 void HeartbeatHandler::reconcile_exited_task(Job& job, const TaskStatus& status,
-                                             UnassignedCopies::OfMachine& copies) {
+                                             UnassignedCopies::OfMachine& copies, TimePoint now) {
   if (status.cause != ExitCause::done || job.service()) return;
   const auto phase = job.tasks[status.task.index].phase;
   if (phase == Phase::assigned) copies.emplace(status.task, CopyState::done);
   if (phase != Phase::waiting) return;
   reconciler_.count(&ReconciliationStats::done_unrecorded);
-  task_exits_.record_done(job, status.task.index);
+  task_exits_.record_done(job, status.task.index, now);
 }
 
 void HeartbeatHandler::adopt_task(Machine& machine, Job& job, const TaskStatus& status,
--- a/src/core/failover/heartbeat_handler.hpp
+++ b/src/core/failover/heartbeat_handler.hpp
@@ -64,6 +64,8 @@
   void remove_missing_tasks(Machine& machine, const std::vector<TaskStatus>& statuses,
                             TimePoint now);
   void remove_missing_task(Machine& machine, const TaskKey& key, TimePoint now);
+  /// Whether the task is done, or its job has completed.
+  bool is_done(const TaskKey& key) const;
 
   /// Applies the task list. `is_list_trusted`: false if only its exits may be applied.
   void apply_statuses(Machine& machine, const std::vector<TaskStatus>& statuses,
@@ -80,7 +82,7 @@
   /// Records a task as done that has exited without an assignment. If the task is assigned
   /// elsewhere, adds it to `copies`: the agent lists the exit until the completion is recorded.
   void reconcile_exited_task(Job& job, const TaskStatus& status,
-                             UnassignedCopies::OfMachine& copies);
+                             UnassignedCopies::OfMachine& copies, TimePoint now);
   /// Creates the assignment of a task that a former leader started on this machine.
   void adopt_task(Machine& machine, Job& job, const TaskStatus& status, TimePoint now);
 
--- a/src/core/failover/task_exit_handler.cpp
+++ b/src/core/failover/task_exit_handler.cpp
@@ -20,13 +20,13 @@
   const auto found = jobs_.find(status.task.job);
   if (found == jobs_.end()) {
     const auto task = assignment.orphaned ? EndedTask::cancelled : EndedTask::done;
-    record_if_in_doubt(machine, status, assignment, task, now);
+    record_if_in_doubt(machine, status.task, assignment, task, now);
     return;
   }
   auto& job = found->second;
   jobs_.before_change(job);
   if (status.cause == ExitCause::done && !job.service()) {
-    record_if_in_doubt(machine, status, assignment, EndedTask::done, now);
+    record_if_in_doubt(machine, status.task, assignment, EndedTask::done, now);
     return handle_completion(machine, assignment, job, status.task.index, now);
   }
   requeue(machine, status, assignment, job, now);
@@ -43,19 +43,26 @@
     delay_restart(job, now);
 }
 
-bool TaskExitHandler::record_if_in_doubt(const Machine& machine, const TaskStatus& status,
+bool TaskExitHandler::record_if_in_doubt(const Machine& machine, const TaskKey& key,
                                          const Assignment& assignment, EndedTask task,
                                          TimePoint now) {
-  if (!machine.in_doubt_attempts.contains(status.attempt)) return false;
+  if (!machine.in_doubt_attempts.contains(assignment.attempt)) return false;
   ended_attempts_.add(
-      status.task, {machine.id, status.attempt, assignment.team, assignment.resources, task}, now);
+      key, {machine.id, assignment.attempt, assignment.team, assignment.resources, task}, now);
   return true;
 }
 
+void TaskExitHandler::handle_loss_of_done_task(Machine& machine, const TaskKey& key,
+                                               TimePoint now) {
+  const auto assignment = machine.tasks.at(key);
+  assignments_.drop(machine, key, now);
+  record_if_in_doubt(machine, key, assignment, EndedTask::done, now);
+}
+
 void TaskExitHandler::requeue(Machine& machine, const TaskStatus& status,
                               const Assignment& assignment, Job& job, TimePoint now) {
   // The task stays assigned to its machine until a delayed start is ruled out.
-  if (record_if_in_doubt(machine, status, assignment, EndedTask::held, now))
+  if (record_if_in_doubt(machine, status.task, assignment, EndedTask::held, now))
     out_.push_back(
         TaskHeld{status.task, machine.id, status.attempt, max_retiring_time(settings_.workers)});
   else
@@ -70,11 +77,11 @@
   fleet_.touch_image(machine, assignment.image, job.spec().image_gb, true);
   machine.errors = 0;
   machine.error_jobs.clear();
-  record_done(job, index);
+  record_done(job, index, now);
 }
 
-void TaskExitHandler::record_done(Job& job, TaskIndex index) {
-  if (job.gang()) return gang_scheduler_.complete_gang(job);
+void TaskExitHandler::record_done(Job& job, TaskIndex index, TimePoint now) {
+  if (job.gang()) return gang_scheduler_.complete_gang(job, now);
   jobs_.task_done(job, index);
   jobs_.progress_changed(job, index);
 }
--- a/src/core/failover/task_exit_handler.hpp
+++ b/src/core/failover/task_exit_handler.hpp
@@ -27,13 +27,16 @@
   /// Ends the assignment of a task that has exited on this machine. The assignment must exist.
   void handle(Machine& machine, const TaskStatus& status, TimePoint now);
   /// Records a task as done; a gang is done with its first task.
-  void record_done(Job& job, TaskIndex index);
+  void record_done(Job& job, TaskIndex index, TimePoint now);
+  /// Ends the assignment of a task that is done and that the machine has lost although a delayed
+  /// start may run it again.
+  void handle_loss_of_done_task(Machine& machine, const TaskKey& key, TimePoint now);
 
  private:
   /// Records the ended attempt if a delayed start may run it again on its machine; returns whether
   /// it was recorded.
-  bool record_if_in_doubt(const Machine& machine, const TaskStatus& status,
-                          const Assignment& assignment, EndedTask task, TimePoint now);
+  bool record_if_in_doubt(const Machine& machine, const TaskKey& key, const Assignment& assignment,
+                          EndedTask task, TimePoint now);
   /// Makes the task wait for another start, or holds it if a delayed start may run its ended
   /// attempt again.
   void requeue(Machine& machine, const TaskStatus& status, const Assignment& assignment, Job& job,
--- a/src/core/scheduling/gang_scheduler.cpp
+++ b/src/core/scheduling/gang_scheduler.cpp
@@ -212,9 +212,24 @@
   }
 }
 
+// A task whose start is confirmed reports its exit. No command would be sent for the others any
+// more once the job is closed, and their assignments would stay (docs/incidents/seed-2588.md).
+void GangScheduler::end_unconfirmed_starts(const Job& job, TimePoint now) {
+  for_each_assignment(fleet_, job,
+                      [&](Machine& machine, const TaskKey& key, Assignment& assignment) {
+                        if (assignment.reported) return;
+                        if (!CommandDispatcher::may_have_sent_start(machine, assignment))
+                          return fleet_.unassign(machine, key);
+                        fleet_.before_change(machine);
+                        assignment.orphaned = true;
+                        commands_.stop(machine, assignment, now);
+                      });
+}
+
 // The tasks of a gang complete together, so one done task proves that all are done, also those on
 // machines that have failed since.
-void GangScheduler::complete_gang(Job& job) {
+void GangScheduler::complete_gang(Job& job, TimePoint now) {
+  end_unconfirmed_starts(job, now);
   for (TaskIndex index = 0; index < job.tasks.size(); ++index) {
     jobs_.task_done(job, index);
     if (index % kProgressChunk == 0) jobs_.progress_changed(job, index);
--- a/src/core/scheduling/gang_scheduler.hpp
+++ b/src/core/scheduling/gang_scheduler.hpp
@@ -41,7 +41,7 @@
   /// Stops the remaining tasks of gangs that have lost a task.
   void stop_broken_gangs(TimePoint now);
   /// Marks all tasks of the gang as done, after one of them has reported completion.
-  void complete_gang(Job& job);
+  void complete_gang(Job& job, TimePoint now);
 
   void job_closed(const JobId& id) { reservations_.close(fleet_, id); }
   void machine_gone(Machine& machine) { reservations_.release(fleet_, machine); }
@@ -60,6 +60,9 @@
   }
 
  private:
+  /// Removes the assignments of the gang whose start was never sent, and stops those whose start is
+  /// not confirmed.
+  void end_unconfirmed_starts(const Job& job, TimePoint now);
   bool start(Job& job, const std::vector<GangSlots>& slots, TimePoint now);
   bool can_start(const Job& job, const std::vector<GangSlots>& slots, TimePoint now) const;
   void reserve_machines(Job& job, const std::vector<Machine*>& schedulable, TimePoint now);
