No look-up of unassigned copies while there are none

contains_job is asked for every waiting job in each scheduling round, and built two keys for a range that is nearly always empty. Behaviour is the same.

--- a/src/core/failover/recovery.cpp
+++ b/src/core/failover/recovery.cpp
@@ -115,6 +115,7 @@
 }
 
 void Recovery::add_zones_of_copies(const Job& job, std::map<std::string, TaskIndex>& use) const {
+  if (unassigned_copies_.empty()) return;
   const auto [first, last] = unassigned_copies_.of_job(job.spec().id);
   for (auto entry = first; entry != last; ++entry)
     for (const auto& [id, state] : entry->second)
--- a/src/core/machines/unassigned_copies.cpp
+++ b/src/core/machines/unassigned_copies.cpp
@@ -30,7 +30,9 @@
           copies_.upper_bound({job, std::numeric_limits<TaskIndex>::max()})};
 }
 
+// Called for every waiting job in each scheduling round, nearly always without any copies.
 bool UnassignedCopies::contains_job(const JobId& job) const {
+  if (copies_.empty()) return false;
   const auto [first, last] = of_job(job);
   return first != last;
 }
