--- a/tests/simulation/agent.hpp
+++ b/tests/simulation/agent.hpp
@@ -40,6 +40,7 @@
   TimePoint outbound_partition_until{};  ///< heartbeats do not arrive; commands are answered
   bool follows_former_leader = false;    ///< reports to a leader partitioned from the store
   int endpoint_number = 1;               ///< may change when the machine restarts
+  int restarts = 0;                      ///< of the machine, each within a second
   std::uint64_t epoch = 1;
   std::uint64_t heartbeat_sequence = 0;
   FencingToken token = 0;
--- a/tests/simulation/environment.hpp
+++ b/tests/simulation/environment.hpp
@@ -15,6 +15,8 @@
 /// Clock, event queue and seeded random draws. Equal seeds and equal sequences of calls give equal
 /// worlds. Optional faults (production, combined and correlated faults) draw from a second
 /// generator, so that a new kind of optional fault does not change the worlds that have none.
+/// Copies of command batches draw from a third one, so that they do not change the draws of the
+/// other faults.
 class Environment {
  public:
   using Callback = std::function<void()>;
@@ -37,7 +39,7 @@
   /// Draws a number of seconds from the uniform distribution over [low, high).
   Seconds uniform_seconds(double low, double high) { return Seconds(uniform(low, high)); }
 
-  /// Enables the optional faults and seeds their generator.
+  /// Enables the optional faults and seeds their generators.
   void enable_optional_faults(std::uint64_t seed);
   bool optional_faults_enabled() const { return optional_faults_enabled_; }
   /// Draws true with the given probability from the generator of the optional faults. Returns false
@@ -50,6 +52,11 @@
     return Seconds(optional_fault_uniform(low, high));
   }
 
+  /// As `optional_fault_chance`, from the generator of the copies of command batches.
+  bool command_copy_chance(double probability);
+  /// As `uniform_seconds`, from the generator of the copies of command batches.
+  Seconds command_copy_seconds(double low, double high);
+
   /// Whether faults are injected.
   bool faults_active() const { return !faults_ended_; }
   /// Stops the injection of faults. Faults that have begun last until their own end.
@@ -63,6 +70,7 @@
   std::mt19937_64 random_;
   bool optional_faults_enabled_ = false;
   std::mt19937_64 optional_fault_random_;
+  std::mt19937_64 command_copy_random_;
   TimePoint now_{};
   std::multimap<TimePoint, Callback> events_;
   std::optional<TimePoint> faults_ended_;
--- a/tests/simulation/network.cpp
+++ b/tests/simulation/network.cpp
@@ -61,10 +61,23 @@
   if (token >= agent->token && batch.epoch == agent->epoch) {
     agent->token = token;
     for (const auto& command : batch.commands) runner_.execute(*agent, command);
+    if (awaits_answer) copies_.carried_out({token, batch});
   }
   if (awaits_answer) answer_commands(token, *agent);
 }
 
+void Network::deliver_copy(const SentBatch& sent) { deliver(sent.token, sent.batch, false); }
+
+void Network::deliver_copies_after_restarts() {
+  const bool elected = leaders_.elections() != elections_seen_;
+  elections_seen_ = leaders_.elections();
+  for (const auto& [id, agent] : fleet_.all()) {
+    auto& seen = restarts_seen_[id];
+    if (elected || agent.restarts != seen) copies_.restarted(id);
+    seen = agent.restarts;
+  }
+}
+
 void Network::deliver_after_partition(FencingToken token, const SendCommands& batch,
                                       bool awaits_answer) {
   ++blocked_batches_;
--- a/tests/simulation/network.hpp
+++ b/tests/simulation/network.hpp
@@ -1,9 +1,10 @@
 /// @file
 /// Messages between the leaders and the agents of a simulated world, with losses, delays,
-/// duplicates and partitions. Owns only counts of faults.
+/// duplicates and partitions. Owns only counts of faults and the copies of command batches.
 #pragma once
 
 #include "simulation/agent_runner.hpp"
+#include "simulation/command_copies.hpp"
 #include "simulation/leaders.hpp"
 
 namespace violetpulley::core::simulated {
@@ -12,13 +13,23 @@
 class Network {
  public:
   Network(Environment& environment, Leaders& leaders, AgentFleet& fleet, AgentRunner& runner)
-      : environment_(environment), leaders_(leaders), fleet_(fleet), runner_(runner) {}
+      : environment_(environment),
+        leaders_(leaders),
+        fleet_(fleet),
+        runner_(runner),
+        copies_(environment, [this](const SentBatch& sent) { deliver_copy(sent); }) {}
 
   /// Sends a command batch of the leader.
   void send_commands(const LeaderProcess& leader, const SendCommands& batch);
   /// Sends the agent's periodic heartbeat to the leader that the agent reports to.
   void send_heartbeat(SimulatedAgent& agent);
 
+  /// Lets late copies of command batches arrive at machines that have restarted, and at all
+  /// machines after an election.
+  void deliver_copies_after_restarts();
+
+  /// Number of copies of command batches that arrived after the batch was carried out.
+  std::size_t command_copies() const { return copies_.delivered(); }
   /// Number of duplicates of heartbeats that arrived late.
   std::size_t late_copies() const { return late_copies_; }
   /// Number of deliveries of command batches that an inbound partition blocked.
@@ -34,6 +45,7 @@
   void deliver_after_partition(FencingToken token, const SendCommands& batch, bool awaits_answer);
   void deliver_after_hang(FencingToken token, const SendCommands& batch, bool awaits_answer);
   void answer_commands(FencingToken token, SimulatedAgent& agent);
+  void deliver_copy(const SentBatch& sent);
   void deliver_late_copy(const Heartbeat& heartbeat);
   void deliver_late(const Heartbeat& heartbeat);
   void receive(const Heartbeat& heartbeat, TimePoint sent);
@@ -47,6 +59,9 @@
   Leaders& leaders_;
   AgentFleet& fleet_;
   AgentRunner& runner_;
+  CommandCopies copies_;
+  std::map<MachineId, int> restarts_seen_;
+  std::size_t elections_seen_ = 0;
   std::size_t late_copies_ = 0;
   std::size_t blocked_batches_ = 0;
 };
--- a/tests/simulation/production_faults.cpp
+++ b/tests/simulation/production_faults.cpp
@@ -50,6 +50,7 @@
 // may stay the same.
 void ProductionFaults::restart(SimulatedAgent& agent) {
   ++machine_restarts_;
+  ++agent.restarts;
   agent.tasks.clear();
   agent.images.clear();
   if (environment_.optional_fault_chance(kEpochGrowsChance)) ++agent.epoch;
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -70,6 +70,7 @@
   step_agents();
   gangs_.step();
   leaders_.step();
+  network_.deliver_copies_after_restarts();
   check();
 }
 
--- a/tests/simulation/world_test.cpp
+++ b/tests/simulation/world_test.cpp
@@ -114,8 +114,9 @@
   print_digest(world, seed());
 }
 
-// Production faults: inbound partitions, late duplicates of heartbeats, a leader that reaches its
-// agents but not the store, and processes and machines that restart within a second.
+// Production faults: inbound partitions, late duplicates of heartbeats, late copies of command
+// batches that were carried out, a leader that reaches its agents but not the store, and processes
+// and machines that restart within a second.
 TEST_P(ProductionFaults, KeepEveryRuleAndFinish) {
   SCOPED_TRACE("seed " + std::to_string(seed()));
   World world(seed());
@@ -123,6 +124,7 @@
   if (seed() % 4 == 0) world.set_commit_policy(CommitPolicy::all_leaders);
   expect_all_jobs_run(world, kFaultTime);
   EXPECT_GT(world.network().late_copies(), 10U);
+  EXPECT_GT(world.network().command_copies(), 5U);
   EXPECT_GT(world.network().blocked_batches() + world.production_faults().machine_restarts() +
                 world.production_faults().store_and_peer_partitions(),
             0U);
--- a/tests/support/fake_cloud.hpp
+++ b/tests/support/fake_cloud.hpp
@@ -4,7 +4,9 @@
 /// granted.
 #pragma once
 
+#include <algorithm>
 #include <map>
+#include <optional>
 
 #include "support/fake_support.hpp"
 
@@ -28,6 +30,32 @@
 
   /// Number of start commands that began a new attempt.
   std::size_t executed_starts() const { return executed_starts_; }
+  /// Whether an attempt of the task is on the machine and has not exited.
+  bool runs(const std::string& task) {
+    heartbeat_body();  // ends the tasks whose run time is over
+    return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& entry) {
+      return entry.first.first == task && entry.second.state != "exited";
+    });
+  }
+  /// Whether an attempt of the task is listed, exited or not.
+  bool lists(const std::string& task) const {
+    return std::any_of(tasks_.begin(), tasks_.end(),
+                       [&](const auto& entry) { return entry.first.first == task; });
+  }
+  std::uint64_t token() const { return token_; }
+  /// All tasks on the machine fail now.
+  void fail_tasks() {
+    for (auto& [key, task] : tasks_)
+      if (task.state != "exited") task = {"exited", "error", task.ends_at};
+  }
+  /// The machine is back at once without its tasks, in the same epoch.
+  void lose_tasks() { tasks_.clear(); }
+  /// The heartbeats announce that the cloud takes the machine back after this time.
+  void set_reclaim_notice(double seconds) { reclaim_notice_ = seconds; }
+  /// Delivers a copy of every command batch with a start that was carried out and answered.
+  void repeat_answered_starts() {
+    for (const auto& body : std::vector(answered_starts_)) carry_out(body);
+  }
 
  private:
   struct Task {
@@ -48,11 +76,16 @@
       if (!task.cause.empty()) status["cause"] = task.cause;
       tasks.push_back(status);
     }
-    return {{"rig", id_},           {"endpoint", text_of(server_.local_endpoint())},
-            {"bench", "small"},     {"district", "z1"},
-            {"loaners", false},     {"shift", 1},
-            {"tally", ++sequence_}, {"baton", token_},
-            {"recall_s", nullptr},  {"cuts", tasks}};
+    return {{"rig", id_},
+            {"endpoint", text_of(server_.local_endpoint())},
+            {"bench", "small"},
+            {"district", "z1"},
+            {"loaners", false},
+            {"shift", 1},
+            {"tally", ++sequence_},
+            {"baton", token_},
+            {"recall_s", reclaim_notice_ ? Json(*reclaim_notice_) : Json()},
+            {"cuts", tasks}};
   }
 
   void execute(const Json& commands) {
@@ -75,12 +108,21 @@
     }
   }
 
+  /// Returns whether the commands were accepted.
+  bool carry_out(const Json& body) {
+    if (body.at("baton").get<std::uint64_t>() < token_ || body.at("shift") != 1) return false;
+    token_ = body.at("baton").get<std::uint64_t>();
+    execute(body.at("orders"));
+    return true;
+  }
+
   void receive_commands(const Json& body, const Responder& respond) {
-    const bool accepted = body.at("baton").get<std::uint64_t>() >= token_ && body.at("shift") == 1;
-    if (accepted) {
-      token_ = body.at("baton").get<std::uint64_t>();
-      execute(body.at("orders"));
-    }
+    const bool accepted = carry_out(body);
+    const auto& commands = body.at("orders");
+    const bool has_start = std::any_of(commands.begin(), commands.end(), [](const Json& command) {
+      return command.at("verb") == "start";
+    });
+    if (accepted && has_start) answered_starts_.push_back(body);
     respond({accepted ? 200 : 409, heartbeat_body().dump(), {}});
   }
 
@@ -124,6 +166,8 @@
   std::map<std::string, std::string> node_addresses_;
   std::string current_node_;
   std::map<std::pair<std::string, std::uint64_t>, Task> tasks_;
+  std::vector<Json> answered_starts_;
+  std::optional<double> reclaim_notice_;
   std::uint64_t token_ = 0;
   std::uint64_t sequence_ = 0;
   std::size_t executed_starts_ = 0;
@@ -151,6 +195,8 @@
     for (const auto& [id, agent] : agents_) total += agent->executed_starts();
     return total;
   }
+  /// The agents of the machines that have not been returned, by machine.
+  const std::map<std::string, std::unique_ptr<Agent>>& agents() const { return agents_; }
 
  private:
   static constexpr std::size_t kMaxMachines = 6;
--- a/tests/support/fake_state_service.hpp
+++ b/tests/support/fake_state_service.hpp
@@ -59,6 +59,11 @@
     endpoints_.at(endpoint).execution_delay = delay;
   }
   std::size_t late_execution_count() const { return late_executions_; }
+  /// The member that the leader key names; empty if there is no key.
+  std::string leader() const {
+    const auto found = entries_.find("leader");
+    return found == entries_.end() ? "" : found->second.value.at("member").get<std::string>();
+  }
 
  private:
   using ResponseCallback = std::function<void(const net::Response&)>;
--- a/tests/support/leader_with_agents.hpp
+++ b/tests/support/leader_with_agents.hpp
@@ -84,6 +84,7 @@
     auto& agent = agents_[id];
     Heartbeat heartbeat{
         id, id, "bench", "a", true, agent.epoch, ++agent.heartbeat_sequence, agent.token, {}, {}};
+    if (reclaim_notices_.contains(id)) heartbeat.notice = reclaim_notices_.at(id);
     for (const auto& [key, task] : agent.tasks)
       heartbeat.tasks.push_back({key, task.attempt, TaskState::running, ExitCause::none, false});
     for (const auto& [key, entry] : agent.ended) heartbeat.tasks.push_back(entry);
@@ -94,13 +95,19 @@
     for (const auto& command : commands) {
       const TaskStatus stopped{command.task, command.attempt, TaskState::exited, ExitCause::stopped,
                                false};
-      if (command.type == CommandType::start && agent.tasks.try_emplace(command.task).second)
+      if (command.type == CommandType::start && !remembers(agent, command) &&
+          agent.tasks.try_emplace(command.task).second)
         start_task(agent, command);
       if (command.type == CommandType::stop && agent.tasks.erase(command.task) > 0)
         agent.ended[command.task] = stopped;
       if (command.type == CommandType::acknowledge) agent.ended.erase(command.task);
     }
   }
+  /// Whether the attempt has ended on the agent and was not acknowledged: its start has no effect.
+  static bool remembers(const Agent& agent, const Command& start) {
+    const auto ended = agent.ended.find(start.task);
+    return ended != agent.ended.end() && ended->second.attempt == start.attempt;
+  }
   /// Run time of a task of the job. Unlimited for a service, and for a job that the controller no
   /// longer has: a delayed start of such a job may still arrive at an agent.
   Seconds run_time_of(const JobId& id) const {
@@ -215,17 +222,32 @@
       return;
     }
     auto& agent = found->second;
-    if (batch.epoch == agent.epoch) {
-      agent.token = kToken;
-      execute(agent, batch.commands);
-    }
+    const bool carried_out = carry_out(agent, batch);
     if (!agent.answers_commands) {
       missed_responses_.emplace(now_ + milliseconds(700), batch.machine);
       return;
     }
+    const bool has_start =
+        std::any_of(batch.commands.begin(), batch.commands.end(),
+                    [](const Command& command) { return command.type == CommandType::start; });
+    if (carried_out && has_start) answered_starts_[batch.machine].push_back(batch);
     const auto heartbeat = heartbeat_of(batch.machine);
     controller_->commands_answered(batch.machine, &heartbeat, now_);
   }
+  /// Carries out a batch unless the agent refuses its epoch or its fencing token; returns whether
+  /// it was carried out.
+  bool carry_out(Agent& agent, const SendCommands& batch) {
+    if (batch.epoch != agent.epoch || kToken < agent.token) return false;
+    agent.token = kToken;
+    execute(agent, batch.commands);
+    return true;
+  }
+  /// Delivers a copy of every batch with a start that the agent has carried out and answered.
+  void repeat_answered_starts(const MachineId& id) {
+    auto& agent = agents_[id];
+    if (agent.returned) return;
+    for (const auto& batch : answered_starts_[id]) carry_out(agent, batch);
+  }
   void return_machines(const ScaleIn& request) {
     scale_in_causes_ += request.cause + "; ";
     if (!cloud_answers_) return controller_->scale_in_answered(request.machines, false, now_);
@@ -260,6 +282,8 @@
   bool resigns_when_isolated_ = true;
   std::unique_ptr<Controller> controller_;
   std::map<MachineId, Agent> agents_;
+  std::map<MachineId, std::vector<SendCommands>> answered_starts_;
+  std::map<MachineId, Seconds> reclaim_notices_;          ///< in the heartbeats of these machines
   std::multimap<TimePoint, MachineId> missed_responses_;  ///< by the time of their timeout
   std::map<MachineId, int> starts_sent_;
   std::map<MachineId, int> stops_sent_;  ///< stop and acknowledge commands
