--- a/src/agent/command_sender.cpp
+++ b/src/agent/command_sender.cpp
@@ -64,7 +64,8 @@
   auto commands = batch.commands;
   if (commands.size() > kMaxCommandsPerRequest) commands.resize(kMaxCommandsPerRequest);
   connection.client->request(
-      {"POST", kCommandsPath, commands_body(token_, batch.epoch, commands)},
+      {"POST", kCommandsPath,
+       commands_body(std::max(token_, batch.raised_token), batch.epoch, commands)},
       commands.empty() ? kEmptyBatchTimeout : kTimeout,
       [this, id = batch.machine](const std::optional<net::Response>& response) {
         handle_response(id, response);
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -14,7 +14,10 @@
       failure_detector_(settings_, fleet_, now),
       recovery_(out_, fleet_, unassigned_copies_, former_leases_end, settings_.workers.lease),
       registry_(out_, fleet_),
-      commands_(settings_.sockets, settings_.tuning.max_commands_in_flight, out_, fleet_, jobs_),
+      tokens_(token),
+      commands_(settings_.sockets, settings_.tuning.max_commands_in_flight, out_, fleet_, jobs_,
+                tokens_),
+      ended_attempts_(tokens_),
       assignments_(out_, fleet_, jobs_, recovery_, ended_attempts_),
       task_starter_(settings_, catalog_, fleet_, jobs_, commands_, forecaster_, recovery_,
                     ended_attempts_, token),
@@ -32,8 +35,8 @@
              reconciler_, assignments_, registry_, now),
       heartbeats_(settings_, out_, catalog_, fleet_, failure_detector_, jobs_, estimator_,
                   forecaster_, recovery_, reconciler_, registry_, commands_, assignments_,
-                  gang_scheduler_, ended_attempts_, token),
-      doubt_resolver_(settings_, fleet_, jobs_, task_starter_, ended_attempts_),
+                  gang_scheduler_, ended_attempts_, tokens_, token),
+      doubt_resolver_(settings_, fleet_, jobs_, task_starter_, ended_attempts_, tokens_),
       consolidation_(settings_, catalog_, fleet_, jobs_, commands_, bindings_, scarcity_, watch_),
       replica_consolidation_(settings_, out_, fleet_, jobs_, commands_, task_starter_, bindings_),
       starvation_guard_(settings_, fleet_, jobs_, task_starter_, forecaster_, bindings_),
@@ -141,9 +144,27 @@
   recovery_.confirm(id);
   commands_.machine_returned(machine);
   registry_.released(id);
+  tokens_.erase(id);
   fleet_.erase(id);
 }
 
+void Controller::leadership_proven(Revision revision) {
+  tokens_.record_proof(revision);
+  for (const auto& id : tokens_.machines_to_raise())
+    if (const auto* machine = fleet_.find(id)) commands_.mark_due(*machine);
+}
+
+// A write of this leader is conditioned on its key, so the commit proves the key at a newer
+// revision.
+void Controller::request_revision_if_needed() {
+  for (const auto& id : tokens_.machines_to_raise()) {
+    auto* machine = fleet_.find(id);
+    if (machine == nullptr || !tokens_.is_exhausted(id)) continue;
+    if (machine->registered && !machine->registering) registry_.save(*machine);
+    return;
+  }
+}
+
 void Controller::cloud_listed(const std::vector<ListedMachine>& machines, TimePoint now) {
   for (const auto& listed : machines) {
     if (registry_.was_released(listed.id)) continue;
@@ -170,6 +191,7 @@
   reconciler_.query_machines(now);
   if (watch_.check_machines(now, may_place, last_proven)) {
     return_retiring_machines(now);
+    request_revision_if_needed();
     consolidation_.consolidate(now);
   }
   replica_consolidation_.consolidate(now);
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -50,6 +50,13 @@
   std::vector<Command> response_commands(const Heartbeat& heartbeat) const {
     return commands_.response_commands(heartbeat.machine, heartbeat.number());
   }
+  /// The fencing token of the answer to a heartbeat of the machine.
+  FencingToken response_token(const MachineId& machine) const { return tokens_.of(machine); }
+  /// Whether the token of a heartbeat is of this leader or of an earlier one.
+  bool is_known_token(FencingToken token) const { return tokens_.is_known(token); }
+  /// The leader key was unchanged at this revision of the store (docs/safety.md, "An answered start
+  /// can come again"). Must be called before the first command is sent.
+  void leadership_proven(Revision revision);
   /// Handles the outcome of a command batch. `heartbeat`: the agent's response; null if none
   /// arrived.
   void commands_answered(const MachineId& machine, const Heartbeat* heartbeat, TimePoint now) {
@@ -107,6 +114,7 @@
   const Reconciler& reconciler() const { return reconciler_; }
   const CommandDispatcher& commands() const { return commands_; }
   const EndedAttempts& ended_attempts() const { return ended_attempts_; }
+  const MachineTokens& tokens() const { return tokens_; }
   /// Whether tasks of former leaders may still be on unconfirmed machines.
   bool recovering() const { return recovery_.recovering(); }
   /// Number of machine inspections so far; tests compare it with the number of events.
@@ -149,6 +157,7 @@
     visit("placing", self.scheduler_);
     visit("ended attempts", self.ended_attempts_);
     visit("unassigned copies", self.unassigned_copies_);
+    visit("machine tokens", self.tokens_);
   }
 
  private:
@@ -156,6 +165,8 @@
   void recover_machine(const MachineRecord& record, TimePoint now);
   void return_retiring_machines(TimePoint now);
   void forget_returned_machine(Machine& machine, TimePoint now);
+  /// Requests a write if a machine needs a token above all revisions that are known.
+  void request_revision_if_needed();
   Machine& add_unexpected_machine(const ListedMachine& listed, TimePoint now);
 
   const ControllerSettings settings_;
@@ -169,6 +180,7 @@
   UnassignedCopies unassigned_copies_;
   Recovery recovery_;
   MachineRegistry registry_;
+  MachineTokens tokens_;
   CommandDispatcher commands_;
   EndedAttempts ended_attempts_;
   Assignments assignments_;
--- a/src/core/dispatch/command_dispatcher.cpp
+++ b/src/core/dispatch/command_dispatcher.cpp
@@ -24,12 +24,16 @@
 
 }  // namespace
 
+// A start may be carried out again at any later time, and an agent that no longer remembers the
+// attempt would run the task again. So the message that lets the agent forget the attempt carries a
+// token above that of the start.
+bool CommandDispatcher::may_be_forgotten(const Machine& machine, Attempt attempt) const {
+  if (!tokens_.enabled()) return !machine.in_doubt_attempts.contains(attempt);
+  return tokens_.is_fenced_by_next_message(machine.id, attempt);
+}
+
 bool CommandDispatcher::acknowledgeable(const Machine& machine, const TaskStatus& status) const {
-  // Delayed packets may deliver a start a second time, and an agent that no longer remembers the
-  // attempt would run the task again. So an attempt with an unanswered start is never acknowledged:
-  // the agent remembers it until the agent epoch or the fencing token changes or the machine is
-  // gone.
-  if (machine.in_doubt_attempts.contains(status.attempt)) return false;
+  if (!may_be_forgotten(machine, status.attempt)) return false;
   if (status.cause != ExitCause::done) return true;
   const auto found = jobs_.find(status.task.job);
   if (found == jobs_.end()) return true;
@@ -104,6 +108,29 @@
   }
 }
 
+bool CommandDispatcher::ends_with_next_message(const Machine& machine, const TaskStatus& status) {
+  if (status.state == TaskState::exited) return true;
+  const auto assigned = machine.tasks.find(status.task);
+  return assigned == machine.tasks.end() || assigned->second.attempt != status.attempt ||
+         assigned->second.stop;
+}
+
+void CommandDispatcher::raise_token_if_needed(const Machine& machine) {
+  if (!machine.confirmed || tokens_.unfenced(machine.id) == nullptr) return;
+  const auto& statuses = machine.task_statuses;
+  const bool ends_attempts =
+      std::any_of(statuses.begin(), statuses.end(), [&](const TaskStatus& status) {
+        return ends_with_next_message(machine, status) &&
+               !tokens_.is_fenced_by_next_message(machine.id, status.attempt);
+      });
+  if (ends_attempts || tokens_.needs_raise(machine.id)) tokens_.raise(machine.id);
+}
+
+void CommandDispatcher::prepare_response(const Machine& machine) {
+  if (machine.commands_in_flight && !machine.starts_in_flight.empty()) return;
+  raise_token_if_needed(machine);
+}
+
 std::vector<Command> CommandDispatcher::response_commands(const MachineId& id,
                                                           HeartbeatNumber heartbeat) const {
   const auto* machine = fleet_.find(id);
@@ -234,14 +261,19 @@
   // A machine that does not answer gets no repeated starts, as each copy might be delayed in
   // transit and executed late. Stops are repeated nevertheless.
   const auto include_starts = machine.unacknowledged_since ? IncludeStarts::no : IncludeStarts::yes;
+  raise_token_if_needed(machine);
   auto commands = commands_for(machine, include_starts);
   machine.starts_in_flight.clear();
   for (const auto& command : commands)
-    if (command.type == CommandType::start) machine.starts_in_flight.push_back(command.attempt);
+    if (command.type == CommandType::start) {
+      machine.starts_in_flight.push_back(command.attempt);
+      tokens_.start_sent(machine.id, command.attempt);
+    }
   // Batches may be empty: the response under our fencing token confirms the machine. A batch with
   // a wrong epoch is answered with a heartbeat that holds the current epoch.
   const auto epoch = std::max<AgentEpoch>(1, machine.epoch);
-  out_.push_back(SendCommands{machine.id, machine.endpoint, epoch, std::move(commands)});
+  out_.push_back(SendCommands{machine.id, machine.endpoint, epoch, std::move(commands),
+                              tokens_.raised_token(machine.id)});
 }
 
 void CommandDispatcher::record_outcome(Machine& machine, bool answered, TimePoint now) {
--- a/src/core/dispatch/command_dispatcher.hpp
+++ b/src/core/dispatch/command_dispatcher.hpp
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "core/dispatch/in_flight_window.hpp"
+#include "core/dispatch/machine_tokens.hpp"
 #include "core/dispatch/socket_budget.hpp"
 #include "core/jobs/jobs.hpp"
 #include "core/machines/fleet.hpp"
@@ -26,8 +27,13 @@
   /// `max_in_flight`: the operators' limit of unanswered command batches; 0: limited by the socket
   /// share only.
   CommandDispatcher(const SocketBudget& sockets, std::size_t max_in_flight, Outbox& out,
-                    Fleet& fleet, const Jobs& jobs)
-      : sockets_(sockets), max_in_flight_(max_in_flight), out_(out), fleet_(fleet), jobs_(jobs) {}
+                    Fleet& fleet, const Jobs& jobs, MachineTokens& tokens)
+      : sockets_(sockets),
+        max_in_flight_(max_in_flight),
+        out_(out),
+        fleet_(fleet),
+        jobs_(jobs),
+        tokens_(tokens) {}
 
   /// Schedules a command batch for the machine, even if the batch is empty.
   void mark_due(const Machine& machine) { machines_due_.insert(machine.id); }
@@ -40,6 +46,11 @@
   /// machine's newest one: the answer to a delayed copy carries no commands.
   std::vector<Command> response_commands(const MachineId& id, HeartbeatNumber heartbeat) const;
 
+  /// Prepares the answer to the machine's newest heartbeat: raises the token that the answer
+  /// carries if the answer ends attempts that a copy of their start could run again. A batch with
+  /// starts that is on its way would be refused, so the token is not raised meanwhile.
+  void prepare_response(const Machine& machine);
+
   /// Sends as many batches as the window admits; the other machines stay due. Machines with stops
   /// come first, then machines by their oldest unconfirmed attempt (the order in which the
   /// scheduler chose the tasks), then machines that left their last batch unanswered.
@@ -103,6 +114,11 @@
   };
 
   bool acknowledgeable(const Machine& machine, const TaskStatus& status) const;
+  bool may_be_forgotten(const Machine& machine, Attempt attempt) const;
+  /// Raises the machine's token if the next message ends attempts that are not fenced, or if that
+  /// was requested.
+  void raise_token_if_needed(const Machine& machine);
+  static bool ends_with_next_message(const Machine& machine, const TaskStatus& status);
   void add_stops_of_ended_jobs(const Machine& machine, std::vector<Command>& commands) const;
   void add_acknowledgements(const Machine& machine, std::vector<Command>& commands) const;
   static void add_stops_of_unknown_attempts(const Machine& machine, std::vector<Command>& commands);
@@ -120,6 +136,7 @@
   Outbox& out_;
   Fleet& fleet_;
   const Jobs& jobs_;
+  MachineTokens& tokens_;
   std::set<MachineId> machines_due_;
   InFlightWindow window_;
 };
--- a/src/core/events.cpp
+++ b/src/core/events.cpp
@@ -23,7 +23,8 @@
                                      "tick",
                                      "placements saved",
                                      "older leaders gone",
-                                     "others hear"};
+                                     "others hear",
+                                     "leadership proven"};
   static_assert(kNames.size() == std::variant_size_v<Event>);
   return kNames[event.index()];
 }
@@ -74,6 +75,9 @@
   void operator()(const PeerReceivesHeartbeats&) const {
     controller.record_peer_receives_heartbeats(now);
   }
+  void operator()(const LeadershipProven& event) const {
+    controller.leadership_proven(event.revision);
+  }
 };
 
 }  // namespace
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -179,11 +179,22 @@
   }
 };
 
+/// The leader key was unchanged at this revision of the store: a write that is conditioned on it
+/// was committed there. Absent from the histories of programs that did not raise tokens.
+struct LeadershipProven {
+  Revision revision = 0;
+
+  template <class S, class F>
+  static void fields(S& s, F&& f) {
+    f(s.revision);
+  }
+};
+
 /// New kinds are added at the end, because the history stores a kind as its position here.
 using Event = std::variant<LeaderElected, CatalogReceived, JobOpened, JobClosed, HeartbeatReceived,
                            CommandsAnswered, MachineSaved, ProgressSaved, FinishAnswered,
                            ScaleOutAnswered, ScaleInAnswered, CloudListed, Ticked, PlacementsSaved,
-                           FormerLeadersGone, PeerReceivesHeartbeats>;
+                           FormerLeadersGone, PeerReceivesHeartbeats, LeadershipProven>;
 
 /// Name of the event's kind, for tables and messages. The names are stable.
 const char* name_of(const Event& event);
--- a/src/core/failover/doubt_resolver.cpp
+++ b/src/core/failover/doubt_resolver.cpp
@@ -42,10 +42,26 @@
 void DoubtResolver::retire_machines(TimePoint now) {
   retire_for_heartbeat_size(now);
   if (ended_attempts_.empty()) return;
+  retire_for_missing_fences(now);
   retire_for_zones(now);
   retire_for_team_limits(now);
 }
 
+bool DoubtResolver::is_fence_overdue(const MachineId& machine, TimePoint now) const {
+  if (!tokens_.enabled()) return true;
+  const auto* request = tokens_.fence_request(machine);
+  return request != nullptr && !tokens_.needs_raise(machine) &&
+         now - request->since >= to_duration(max_fencing_time(settings_.workers));
+}
+
+// The retirement counts from the request, since a cancellation may not wait any longer.
+void DoubtResolver::retire_for_missing_fences(TimePoint now) {
+  if (!tokens_.enabled()) return;
+  for (const auto& [task, ended] : ended_attempts_.attempts())
+    if (ended.task != EndedTask::done && is_fence_overdue(ended.machine, now))
+      ended_attempts_.retire(ended.machine, tokens_.fence_request(ended.machine)->since);
+}
+
 void DoubtResolver::retire_for_heartbeat_size(TimePoint now) {
   for (const auto& [id, machine] : fleet_.all())
     if (machine.in_doubt_attempts.size() > kMaxInDoubtAttempts) ended_attempts_.retire(id, now);
@@ -56,7 +72,8 @@
     const auto found = jobs_.find(task.job);
     if (found == jobs_.end() || found->second.waiting.empty()) continue;
     const auto& spec = found->second.spec();
-    if (spec.same_zone || spec.spread) ended_attempts_.retire(ended.machine, now);
+    if ((spec.same_zone || spec.spread) && is_fence_overdue(ended.machine, now))
+      ended_attempts_.retire(ended.machine, now);
   }
 }
 
@@ -99,7 +116,7 @@
     const auto* machine = fleet_.find(id);
     if (ended_attempts_.is_retiring(id))
       need -= freed;
-    else if (machine != nullptr)
+    else if (machine != nullptr && is_fence_overdue(id, now))
       candidates.push_back({machine, freed, cost_of_return(*machine, now)});
   }
   std::sort(candidates.begin(), candidates.end(), is_cheaper);
--- a/src/core/failover/doubt_resolver.hpp
+++ b/src/core/failover/doubt_resolver.hpp
@@ -1,9 +1,10 @@
 /// @file
-/// Returns machines on which a delayed start command may run an ended attempt again, if waiting
-/// jobs depend on that attempt or it must end within a time limit (docs/safety.md, "An attempt that
-/// has ended in doubt"; docs/design.md, "Held back"). A retiring machine takes no new tasks and is
-/// returned. Owns no state; decides which machines of `EndedAttempts` are retired for waiting
-/// jobs, and when a retiring machine is returned.
+/// Returns machines on which a delayed start command may run an ended attempt again and whose
+/// agents do not see a higher fencing token in time, if waiting jobs depend on that attempt or it
+/// must end within a time limit (docs/safety.md, "An attempt that has ended in doubt";
+/// docs/design.md, "Held back"). A retiring machine takes no new tasks and is returned. Owns no
+/// state; decides which machines of `EndedAttempts` are retired for waiting jobs, and when a
+/// retiring machine is returned.
 #pragma once
 
 #include "core/dispatch/task_starter.hpp"
@@ -14,12 +15,14 @@
 class DoubtResolver {
  public:
   DoubtResolver(const ControllerSettings& settings, const Fleet& fleet, const Jobs& jobs,
-                const TaskStarter& task_starter, EndedAttempts& ended_attempts)
+                const TaskStarter& task_starter, EndedAttempts& ended_attempts,
+                const MachineTokens& tokens)
       : settings_(settings),
         fleet_(fleet),
         jobs_(jobs),
         task_starter_(task_starter),
-        ended_attempts_(ended_attempts) {}
+        ended_attempts_(ended_attempts),
+        tokens_(tokens) {}
 
   /// Retires the machines whose return waiting jobs depend on; called in each check of the
   /// machines.
@@ -29,6 +32,13 @@
   std::vector<MachineId> machines_to_return(TimePoint now) const;
 
  private:
+  /// Whether a higher token was sent to the machine and has not been seen there in time. Without
+  /// tokens that can be raised, only the return of the machine ends the doubt, so this holds at
+  /// once.
+  bool is_fence_overdue(const MachineId& machine, TimePoint now) const;
+  /// Retires machines with held or cancelled tasks whose agents have not seen a higher token in
+  /// time.
+  void retire_for_missing_fences(TimePoint now);
   /// Retires machines whose agents remember too many in-doubt attempts: each heartbeat lists all of
   /// them.
   void retire_for_heartbeat_size(TimePoint now);
@@ -49,6 +59,7 @@
   const Jobs& jobs_;
   const TaskStarter& task_starter_;
   EndedAttempts& ended_attempts_;
+  const MachineTokens& tokens_;
 };
 
 }  // namespace violetpulley::core
--- a/src/core/failover/heartbeat_handler.cpp
+++ b/src/core/failover/heartbeat_handler.cpp
@@ -28,7 +28,7 @@
 }  // namespace
 
 void HeartbeatHandler::handle(const Heartbeat& heartbeat, HeartbeatSource source, TimePoint now) {
-  if (heartbeat.token > token_) {
+  if (!tokens_.is_known(heartbeat.token)) {
     out_.push_back(Resign{"worker " + heartbeat.machine + " has seen a higher token", false});
     return;
   }
@@ -40,7 +40,8 @@
   update_epoch(machine, heartbeat, now);
   failure_detector_.record_heartbeat(machine, source, now);
   update_identity(machine, heartbeat, now);
-  if (heartbeat.token == token_ && !machine.confirmed) confirm(machine, now);
+  record_token(machine, heartbeat);
+  if (heartbeat.token >= token_ && !machine.confirmed) confirm(machine, now);
   // A machine that is neither recorded as unconfirmed nor confirmed may be known only from a
   // delayed copy of a heartbeat that was sent before a former leader returned the machine. Until
   // the machine answers, no task starts there, it is not registered (the next leader would wait for
@@ -52,6 +53,48 @@
   machine.task_statuses = heartbeat.tasks;
   remove_missing_tasks(machine, heartbeat.tasks, now);
   apply_statuses(machine, heartbeat.tasks, is_list_trusted, now);
+  release_fenced_attempts(machine);
+  fence_forgotten_attempts(machine, now);
+  if (tokens_.fence_request(machine.id) != nullptr) commands_.mark_due(machine);
+  if (source == HeartbeatSource::periodic) commands_.prepare_response(machine);
+}
+
+void HeartbeatHandler::record_token(Machine& machine, const Heartbeat& heartbeat) {
+  if (tokens_.record_heartbeat(machine.id, heartbeat.token) == ShownToken::lower)
+    commands_.mark_due(machine);
+  const auto is_fenced = [&](Attempt attempt) {
+    return !tokens_.may_run_again(machine.id, attempt);
+  };
+  if (!tokens_.enabled() || machine.in_doubt_attempts.empty()) return;
+  fleet_.before_change(machine);
+  std::erase_if(machine.in_doubt_attempts, is_fenced);
+}
+
+void HeartbeatHandler::release_fenced_attempts(Machine& machine) {
+  if (!tokens_.enabled()) return;
+  const auto& statuses = machine.task_statuses;
+  const auto is_over = [&](const TaskKey& task, const EndedAttempt& ended) {
+    const auto runs = [&](const TaskStatus& status) {
+      return status.task == task && status.attempt == ended.attempt &&
+             status.state != TaskState::exited;
+    };
+    return !tokens_.may_run_again(machine.id, ended.attempt) &&
+           std::none_of(statuses.begin(), statuses.end(), runs);
+  };
+  for (const auto& task : ended_attempts_.remove_if(machine.id, is_over))
+    assignments_.requeue(task);
+}
+
+void HeartbeatHandler::fence_forgotten_attempts(const Machine& machine, TimePoint now) {
+  const auto* unfenced = tokens_.unfenced(machine.id);
+  if (unfenced == nullptr) return;
+  std::set<Attempt> remembered;
+  for (const auto& status : machine.task_statuses) remembered.insert(status.attempt);
+  for (const auto& [key, assignment] : machine.tasks) remembered.insert(assignment.attempt);
+  std::vector<Attempt> forgotten;
+  for (const auto& [attempt, token] : *unfenced)
+    if (!remembered.contains(attempt)) forgotten.push_back(attempt);
+  for (const auto attempt : forgotten) tokens_.request_fence(machine.id, attempt, now);
 }
 
 void HeartbeatHandler::apply_statuses(Machine& machine, const std::vector<TaskStatus>& statuses,
@@ -83,6 +126,7 @@
     reconciler_.count(&ReconciliationStats::new_epochs);
     assignments_.requeue_all(machine, now);
     failure_detector_.agent_restarted(machine);
+    tokens_.epoch_grown(machine.id);
   }
   fleet_.before_change(machine);
   if (heartbeat.epoch > machine.epoch) machine.in_doubt_attempts.clear();
@@ -147,12 +191,17 @@
 }
 
 void HeartbeatHandler::remove_missing_task(Machine& machine, const TaskKey& key, TimePoint now) {
-  // A delayed start command may still reach the machine that has lost this task and run it again.
-  // So the same attempt is started there again, after which the delayed command has no effect,
-  // unless the task is done: it must not start again.
+  // A copy of the start may still reach the machine that has lost this task and run it again. So
+  // the task is held until the agent has seen a higher token. Without tokens that can be raised,
+  // the same attempt is started there again, after which the copy has no effect, unless the task is
+  // done: it must not start again.
   const bool orphaned = machine.tasks.at(key).orphaned;
-  if (machine.in_doubt_attempts.contains(machine.tasks.at(key).attempt)) {
+  const auto attempt = machine.tasks.at(key).attempt;
+  const bool may_run_again = tokens_.enabled() ? tokens_.may_run_again(machine.id, attempt)
+                                               : machine.in_doubt_attempts.contains(attempt);
+  if (may_run_again) {
     if (!orphaned && is_done(key)) return task_exits_.handle_loss_of_done_task(machine, key, now);
+    if (tokens_.enabled()) return task_exits_.handle_loss_of_unfenced_task(machine, key, now);
     return assignments_.reset_to_unreported(machine, key, now);
   }
   assignments_.drop(machine, key, now);
--- a/src/core/failover/heartbeat_handler.hpp
+++ b/src/core/failover/heartbeat_handler.hpp
@@ -21,7 +21,7 @@
                    RunTimeEstimator& estimator, const DeadlineForecaster& forecaster,
                    Recovery& recovery, Reconciler& reconciler, MachineRegistry& registry,
                    CommandDispatcher& commands, Assignments& assignments, GangScheduler& gangs,
-                   EndedAttempts& ended_attempts, FencingToken token)
+                   EndedAttempts& ended_attempts, MachineTokens& tokens, FencingToken token)
       : out_(out),
         catalog_(catalog),
         fleet_(fleet),
@@ -33,10 +33,13 @@
         registry_(registry),
         commands_(commands),
         assignments_(assignments),
-        task_exits_(settings, out, fleet, jobs, estimator, assignments, gangs, ended_attempts),
+        ended_attempts_(ended_attempts),
+        tokens_(tokens),
+        task_exits_(settings, out, fleet, jobs, estimator, assignments, gangs, ended_attempts,
+                    tokens),
         token_(token) {}
 
-  /// Applies a periodic heartbeat. A fencing token higher than ours makes this leader resign; a
+  /// Applies a periodic heartbeat. A fencing token of a later leader makes this leader resign; a
   /// heartbeat that is not newer than the newest heartbeat of its machine changes nothing.
   void heartbeat(const Heartbeat& heartbeat, TimePoint now) {
     handle(heartbeat, HeartbeatSource::periodic, now);
@@ -67,6 +70,14 @@
   /// Whether the task is done, or its job has completed.
   bool is_done(const TaskKey& key) const;
 
+  /// Stores the token that the agent has seen; a lower one than before is sent again.
+  void record_token(Machine& machine, const Heartbeat& heartbeat);
+  /// Releases the ended attempts of which no copy can run any more: the agent has seen a higher
+  /// token and does not run them.
+  void release_fenced_attempts(Machine& machine);
+  /// Requests a higher token for attempts that the agent has forgotten before they were fenced.
+  void fence_forgotten_attempts(const Machine& machine, TimePoint now);
+
   /// Applies the task list. `is_list_trusted`: false if only its exits may be applied.
   void apply_statuses(Machine& machine, const std::vector<TaskStatus>& statuses,
                       bool is_list_trusted, TimePoint now);
@@ -101,6 +112,8 @@
   MachineRegistry& registry_;
   CommandDispatcher& commands_;
   Assignments& assignments_;
+  EndedAttempts& ended_attempts_;
+  MachineTokens& tokens_;
   TaskExitHandler task_exits_;
   FencingToken token_;
 };
--- a/src/core/failover/task_exit_handler.cpp
+++ b/src/core/failover/task_exit_handler.cpp
@@ -19,17 +19,15 @@
   out_.request_scheduling_round();
   const auto found = jobs_.find(status.task.job);
   if (found == jobs_.end()) {
-    const auto task = assignment.orphaned ? EndedTask::cancelled : EndedTask::done;
-    record_if_in_doubt(machine, status.task, assignment, task, now);
-    return;
+    return handle_exit_of_closed_job(machine, status.task, assignment, now);
   }
   auto& job = found->second;
   jobs_.before_change(job);
   if (status.cause == ExitCause::done && !job.service()) {
-    record_if_in_doubt(machine, status.task, assignment, EndedTask::done, now);
+    record_if_in_doubt(machine, status.task, assignment, now);
     return handle_completion(machine, assignment, job, status.task.index, now);
   }
-  requeue(machine, status, assignment, job, now);
+  requeue(machine, status.task, assignment, job, now);
   if (status.cause == ExitCause::done) {
     // A replica is meant to run until its job is cancelled; one that exits is restarted after a
     // delay.
@@ -43,30 +41,59 @@
     delay_restart(job, now);
 }
 
-bool TaskExitHandler::record_if_in_doubt(const Machine& machine, const TaskKey& key,
-                                         const Assignment& assignment, EndedTask task,
-                                         TimePoint now) {
-  if (!machine.in_doubt_attempts.contains(assignment.attempt)) return false;
+void TaskExitHandler::handle_exit_of_closed_job(const Machine& machine, const TaskKey& key,
+                                                const Assignment& assignment, TimePoint now) {
+  if (!assignment.orphaned) return record_if_in_doubt(machine, key, assignment, now);
+  if (may_run_again(machine, assignment))
+    record_ended(machine, key, assignment, EndedTask::cancelled, now);
+}
+
+bool TaskExitHandler::may_run_again(const Machine& machine, const Assignment& assignment) const {
+  if (!tokens_.enabled()) return machine.in_doubt_attempts.contains(assignment.attempt);
+  return tokens_.may_run_again(machine.id, assignment.attempt);
+}
+
+void TaskExitHandler::record_ended(const Machine& machine, const TaskKey& key,
+                                   const Assignment& assignment, EndedTask task, TimePoint now) {
   ended_attempts_.add(
       key, {machine.id, assignment.attempt, assignment.team, assignment.resources, task}, now);
-  return true;
+}
+
+void TaskExitHandler::record_if_in_doubt(const Machine& machine, const TaskKey& key,
+                                         const Assignment& assignment, TimePoint now) {
+  if (machine.in_doubt_attempts.contains(assignment.attempt))
+    record_ended(machine, key, assignment, EndedTask::done, now);
 }
 
 void TaskExitHandler::handle_loss_of_done_task(Machine& machine, const TaskKey& key,
                                                TimePoint now) {
   const auto assignment = machine.tasks.at(key);
   assignments_.drop(machine, key, now);
-  record_if_in_doubt(machine, key, assignment, EndedTask::done, now);
+  if (may_run_again(machine, assignment))
+    record_ended(machine, key, assignment, EndedTask::done, now);
 }
 
-void TaskExitHandler::requeue(Machine& machine, const TaskStatus& status,
-                              const Assignment& assignment, Job& job, TimePoint now) {
-  // The task stays assigned to its machine until a delayed start is ruled out.
-  if (record_if_in_doubt(machine, status.task, assignment, EndedTask::held, now))
+void TaskExitHandler::handle_loss_of_unfenced_task(Machine& machine, const TaskKey& key,
+                                                   TimePoint now) {
+  const auto assignment = machine.tasks.at(key);
+  assignments_.drop(machine, key, now);
+  const auto found = jobs_.find(key.job);
+  if (assignment.orphaned || found == jobs_.end())
+    return record_ended(machine, key, assignment, EndedTask::cancelled, now);
+  auto& job = found->second;
+  jobs_.before_change(job);
+  record_ended(machine, key, assignment, EndedTask::held, now);
+  if (job.gang()) jobs_.mark_gang_broken(key.job);
+}
+
+void TaskExitHandler::requeue(Machine& machine, const TaskKey& key, const Assignment& assignment,
+                              Job& job, TimePoint now) {
+  if (!may_run_again(machine, assignment)) return job.set_waiting(key.index);
+  // The task stays assigned to its machine until a copy of its start is ruled out.
+  record_ended(machine, key, assignment, EndedTask::held, now);
+  if (!tokens_.enabled())
     out_.push_back(
-        TaskHeld{status.task, machine.id, status.attempt, max_retiring_time(settings_.workers)});
-  else
-    job.set_waiting(status.task.index);
+        TaskHeld{key, machine.id, assignment.attempt, max_retiring_time(settings_.workers)});
 }
 
 void TaskExitHandler::handle_completion(Machine& machine, const Assignment& assignment, Job& job,
@@ -97,7 +124,7 @@
   // A job that has failed on several machines without a completed task is likely faulty itself: it
   // must neither be retried without a delay nor put healthy machines into quarantine.
   if (job.done_count == 0 && job.failed_on.size() >= kFaultyJobMachineThreshold) {
-    if (job.waiting.size() == job.tasks.size()) return suspect_job(job, now);
+    if (all_tasks_ended(job)) return suspect_job(job, now);
     const int doublings =
         std::min(static_cast<int>(job.failed_on.size()) - 2, kMaxBackoffDoublings);
     job.backoff_until = now + std::chrono::seconds(1L << doublings);
@@ -110,6 +137,11 @@
     machine.quarantined = true;
 }
 
+bool TaskExitHandler::all_tasks_ended(const Job& job) const {
+  const auto held = tokens_.enabled() ? ended_attempts_.held_tasks(job.spec().id) : 0;
+  return job.waiting.size() + held == job.tasks.size();
+}
+
 // The backoff doubles with each retry. A suspected job retries with a single task, as a retry of
 // all tasks would cost as much as the first start.
 void TaskExitHandler::suspect_job(Job& job, TimePoint now) {
--- a/src/core/failover/task_exit_handler.hpp
+++ b/src/core/failover/task_exit_handler.hpp
@@ -14,7 +14,7 @@
  public:
   TaskExitHandler(const ControllerSettings& settings, Outbox& out, Fleet& fleet, Jobs& jobs,
                   RunTimeEstimator& estimator, Assignments& assignments, GangScheduler& gangs,
-                  EndedAttempts& ended_attempts)
+                  EndedAttempts& ended_attempts, const MachineTokens& tokens)
       : settings_(settings),
         out_(out),
         fleet_(fleet),
@@ -22,7 +22,8 @@
         estimator_(estimator),
         assignments_(assignments),
         gang_scheduler_(gangs),
-        ended_attempts_(ended_attempts) {}
+        ended_attempts_(ended_attempts),
+        tokens_(tokens) {}
 
   /// Ends the assignment of a task that has exited on this machine. The assignment must exist.
   void handle(Machine& machine, const TaskStatus& status, TimePoint now);
@@ -31,16 +32,27 @@
   /// Ends the assignment of a task that is done and that the machine has lost although a delayed
   /// start may run it again.
   void handle_loss_of_done_task(Machine& machine, const TaskKey& key, TimePoint now);
+  /// Ends the assignment of a task that the machine has lost, and holds the task until no copy of
+  /// its start can run it there.
+  void handle_loss_of_unfenced_task(Machine& machine, const TaskKey& key, TimePoint now);
 
  private:
-  /// Records the ended attempt if a delayed start may run it again on its machine; returns whether
-  /// it was recorded.
-  bool record_if_in_doubt(const Machine& machine, const TaskKey& key, const Assignment& assignment,
-                          EndedTask task, TimePoint now);
-  /// Makes the task wait for another start, or holds it if a delayed start may run its ended
+  /// Whether a copy of the attempt's start may run it on the machine if the agent forgets it.
+  bool may_run_again(const Machine& machine, const Assignment& assignment) const;
+  void record_ended(const Machine& machine, const TaskKey& key, const Assignment& assignment,
+                    EndedTask task, TimePoint now);
+  /// Records the end of a task that is done if its start was not answered. If it was, the agent
+  /// remembers the attempt until it is fenced.
+  void record_if_in_doubt(const Machine& machine, const TaskKey& key, const Assignment& assignment,
+                          TimePoint now);
+  /// Makes the task wait for another start, or holds it if a copy of its start may run its ended
   /// attempt again.
-  void requeue(Machine& machine, const TaskStatus& status, const Assignment& assignment, Job& job,
+  void requeue(Machine& machine, const TaskKey& key, const Assignment& assignment, Job& job,
                TimePoint now);
+  /// Whether no task of the job is on a machine or done.
+  bool all_tasks_ended(const Job& job) const;
+  void handle_exit_of_closed_job(const Machine& machine, const TaskKey& key,
+                                 const Assignment& assignment, TimePoint now);
   void handle_completion(Machine& machine, const Assignment& assignment, Job& job, TaskIndex index,
                          TimePoint now);
   static void delay_restart(Job& job, TimePoint now);
@@ -58,6 +70,7 @@
   Assignments& assignments_;
   GangScheduler& gang_scheduler_;
   EndedAttempts& ended_attempts_;
+  const MachineTokens& tokens_;
 };
 
 }  // namespace violetpulley::core
--- a/src/core/machines/ended_attempts.cpp
+++ b/src/core/machines/ended_attempts.cpp
@@ -2,13 +2,17 @@
 /// Maintains the table of in-doubt attempts that have ended, and the resources they use by team.
 #include "core/machines/ended_attempts.hpp"
 
+#include <algorithm>
 #include <limits>
 
 namespace violetpulley::core {
 
 void EndedAttempts::add(const TaskKey& task, EndedAttempt ended, TimePoint now) {
   if (const auto known = attempts_.find(task); known != attempts_.end()) remove(known);
-  if (ended.task != EndedTask::done) retire(ended.machine, now);
+  if (tokens_.enabled())
+    tokens_.request_fence(ended.machine, ended.attempt, now);
+  else if (ended.task != EndedTask::done)
+    retire(ended.machine, now);
   by_machine_[ended.machine].insert(task);
   use_by_team_[ended.team] += ended.resources;
   attempts_.emplace(task, std::move(ended));
@@ -24,10 +28,32 @@
   const auto [first, last] = of_job(job);
   for (auto entry = first; entry != last; ++entry) {
     attempts_.at(entry->first).task = EndedTask::cancelled;
-    retire(entry->second.machine, now);
+    if (!tokens_.enabled()) retire(entry->second.machine, now);
   }
 }
 
+std::size_t EndedAttempts::held_tasks(const JobId& job) const {
+  const auto [first, last] = of_job(job);
+  return static_cast<std::size_t>(std::count_if(
+      first, last, [](const auto& entry) { return entry.second.task == EndedTask::held; }));
+}
+
+std::vector<TaskKey> EndedAttempts::remove_if(const MachineId& machine, const IsOver& is_over) {
+  std::vector<TaskKey> held;
+  const auto found = by_machine_.find(machine);
+  if (found == by_machine_.end()) return held;
+  for (const auto& task : std::set(found->second)) {
+    const auto entry = attempts_.find(task);
+    if (!is_over(task, entry->second)) continue;
+    if (entry->second.task == EndedTask::held) held.push_back(task);
+    remove(entry);
+  }
+  if (!by_machine_.at(machine).empty()) return held;
+  by_machine_.erase(machine);
+  retiring_.erase(machine);
+  return held;
+}
+
 std::vector<TaskKey> EndedAttempts::clear_machine(const MachineId& machine) {
   std::vector<TaskKey> held;
   retiring_.erase(machine);
@@ -43,6 +69,13 @@
   return held;
 }
 
+void EndedAttempts::clear() {
+  attempts_.clear();
+  by_machine_.clear();
+  retiring_.clear();
+  use_by_team_.clear();
+}
+
 void EndedAttempts::remove(Table::iterator entry) {
   const auto& ended = entry->second;
   auto& use = use_by_team_.at(ended.team);
--- a/src/core/machines/unassigned_copies.hpp
+++ b/src/core/machines/unassigned_copies.hpp
@@ -34,6 +34,8 @@
   /// Removes the copies on a machine that is gone or has ended its tasks.
   void clear_machine(const MachineId& machine);
 
+  /// Removes everything, before a snapshot is restored.
+  void clear() { *this = {}; }
   bool empty() const { return copies_.empty(); }
   bool contains(const TaskKey& task) const { return copies_.contains(task); }
   bool contains_job(const JobId& job) const;
--- a/src/core/model/actions.hpp
+++ b/src/core/model/actions.hpp
@@ -17,10 +17,15 @@
   std::string endpoint;
   AgentEpoch epoch = 0;
   std::vector<Command> commands;
+  FencingToken raised_token = 0;  ///< 0: the leader's own token
 
+  /// A token of 0 is left out, so that the digests of older histories stay valid.
   template <class S, class F>
   static void fields(S& s, F&& f) {
-    f(s.machine, s.endpoint, s.epoch, s.commands);
+    if (s.raised_token == 0)
+      f(s.machine, s.endpoint, s.epoch, s.commands);
+    else
+      f(s.machine, s.endpoint, s.epoch, s.commands, s.raised_token);
   }
 };
 
--- a/src/diagnostics/placement_explanation.cpp
+++ b/src/diagnostics/placement_explanation.cpp
@@ -229,9 +229,11 @@
       first, last, [](const auto& entry) { return entry.second.task == core::EndedTask::held; });
   if (held > 0)
     out.causes.push_back(
-        {"delayed_start", std::to_string(held) +
-                              " of its tasks ended on machines where a delayed start may run them "
-                              "again: they start elsewhere once these machines are returned"});
+        {"delayed_start",
+         std::to_string(held) +
+             " of its tasks ended on machines where a delayed start may run them "
+             "again: they start elsewhere once these machines refuse such starts or "
+             "are returned"});
   const auto use = ended_attempts.use_of(spec.team);
   if (out.waiting > 0 && (use.cpus > 0 || use.gpus > 0))
     out.causes.push_back({"ended_attempts",
--- a/src/history/describe.cpp
+++ b/src/history/describe.cpp
@@ -27,12 +27,28 @@
   return out.str();
 }
 
+std::string elected_line(const core::LeaderElected& event) {
+  std::ostringstream out;
+  out << event.recovered.jobs.size() << " jobs, " << event.recovered.machines.size()
+      << " machines, learned state of " << event.recovered.learned_state.jobs.size() << " jobs";
+  return out.str();
+}
+
+std::string leadership_line(const core::FormerLeadersGone&) {
+  return "every other controller reports that it does not lead";
+}
+std::string leadership_line(const core::PeerReceivesHeartbeats&) {
+  return "workers send heartbeats to another controller";
+}
+std::string leadership_line(const core::LeadershipProven& event) {
+  return "at revision " + std::to_string(event.revision);
+}
+
 std::string event_line(const core::Event& event) {
   std::ostringstream out;
   const auto visit = [&]<typename T>(const T& e) {
     if constexpr (std::is_same_v<T, core::LeaderElected>)
-      out << e.recovered.jobs.size() << " jobs, " << e.recovered.machines.size()
-          << " machines, learned state of " << e.recovered.learned_state.jobs.size() << " jobs";
+      out << elected_line(e);
     else if constexpr (std::is_same_v<T, core::CatalogReceived>)
       out << e.types.size() << " types";
     else if constexpr (std::is_same_v<T, core::JobOpened>)
@@ -58,10 +74,8 @@
       out << e.machines.size() << " machines";
     else if constexpr (std::is_same_v<T, core::PlacementsSaved>)
       out << e.job << " version " << e.version;
-    else if constexpr (std::is_same_v<T, core::FormerLeadersGone>)
-      out << "every other controller reports that it does not lead";
-    else if constexpr (std::is_same_v<T, core::PeerReceivesHeartbeats>)
-      out << "workers send heartbeats to another controller";
+    else if constexpr (requires { leadership_line(e); })
+      out << leadership_line(e);
     else
       out << (e.may_place ? "" : "may not serve");
   };
--- a/src/history/records.cpp
+++ b/src/history/records.cpp
@@ -46,7 +46,7 @@
   std::size_t next = 0;
   core::Controller::each_part(controller, [&]<typename Part>(const char* name, Part& part) {
     if constexpr (is_omittable<Part>) {
-      part = Part{};
+      part.clear();
       if (next >= parts.size() || parts[next].first != name) return;
     }
     if (next >= parts.size() || parts[next].first != name)
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -35,7 +35,10 @@
       token_(services.leadership.token()),
       failover_log_(Clock::now()),
       writer_(services.store, token_, services.settings.state_changes_per_transaction,
-              store::page_bytes(services.settings)),
+              store::page_bytes(services.settings),
+              [this](store::Revision revision) {
+                if (controller_) feed(core::LeadershipProven{revision});
+              }),
       read_barriers_(services.io, services.leadership, services.job_replica),
       command_sender_(
           services.io, token_, initial_command_connections(services.settings),
@@ -145,6 +148,7 @@
                                   std::move(recovered)};
   if (services_.recorder != nullptr) services_.recorder->leader_elected(now, event);
   controller_ = core::make_controller(event, now);
+  feed(core::LeadershipProven{token_}, now);
   failover_log_.timeline().record(FailoverStep::core_built, Clock::now());
 }
 
@@ -299,9 +303,10 @@
   schedule_core_run();
   // The agent ignores a 200 with a lower token: it would keep sending heartbeats to this node while
   // its lease expires.
-  if (event.heartbeat.token > token_)
+  if (!controller_->is_known_token(event.heartbeat.token))
     return respond({503, R"({"error":"another controller leads"})", kHeartbeatRetryAfter});
-  auto body = agent::response_body(token_, controller_->response_commands(event.heartbeat));
+  auto body = agent::response_body(controller_->response_token(event.heartbeat.machine),
+                                   controller_->response_commands(event.heartbeat));
   // Checked again just before the response: the process may have been suspended since the first
   // check.
   if (!services_.leadership.may_serve(Clock::now())) return respond(may_not_serve);
--- a/src/store/leader_writer.cpp
+++ b/src/store/leader_writer.cpp
@@ -24,9 +24,10 @@
 }  // namespace
 
 LeaderWriter::LeaderWriter(StoreClient& store, core::FencingToken token, std::size_t max_changes,
-                           std::size_t page_bytes)
+                           std::size_t page_bytes, ProofHandler on_proof)
     : store_(store),
       token_(token),
+      on_proof_(std::move(on_proof)),
       max_changes_(max_changes),
       machines_(kMachinesPrefix, page_bytes, kMachinesMaxDeferral),
       provisioning_(kProvisioningPrefix, page_bytes, kProvisioningMaxDeferral),
@@ -35,7 +36,11 @@
 
 void LeaderWriter::commit(Transaction transaction, TransactionHandler done) {
   transaction.conditions.push_back({kLeaderKey, token_});
-  store_.commit(transaction, RequestPriority::background, lifetime_.guard(std::move(done)));
+  store_.commit(transaction, RequestPriority::background,
+                lifetime_.guard([this, done = std::move(done)](const TransactionResult& result) {
+                  if (result.outcome == Outcome::ok) on_proof_(result.revision);
+                  done(result);
+                }));
 }
 
 void LeaderWriter::flush(core::TimePoint now) {
--- a/src/store/leader_writer.hpp
+++ b/src/store/leader_writer.hpp
@@ -14,9 +14,12 @@
 
 class LeaderWriter {
  public:
+  /// Receives the revision of a commit, at which the leader key was unchanged.
+  using ProofHandler = std::function<void(Revision)>;
+
   /// `max_changes` limits the writes of one transaction, `page_bytes` the size of a page.
   LeaderWriter(StoreClient& store, core::FencingToken token, std::size_t max_changes,
-               std::size_t page_bytes);
+               std::size_t page_bytes, ProofHandler on_proof);
   LeaderWriter(const LeaderWriter&) = delete;
   LeaderWriter& operator=(const LeaderWriter&) = delete;
 
@@ -49,6 +52,7 @@
 
   StoreClient& store_;
   core::FencingToken token_;
+  ProofHandler on_proof_;
   std::size_t max_changes_;
   PagedRecords machines_;
   PagedRecords provisioning_;
--- a/tests/core/dispatch/late_start_copies_test.cpp
+++ b/tests/core/dispatch/late_start_copies_test.cpp
@@ -9,6 +9,7 @@
 
 class LateStartCopiesTest : public LeaderWithAgents {
  protected:
+  LateStartCopiesTest() { raises_tokens_ = true; }
   static constexpr Seconds kSettlingTime{4};
 
   /// Elects a leader of `machines` machines and runs the job until its tasks have started.
@@ -142,5 +143,74 @@
   expect_copies(first, task_, 1);
 }
 
+TEST_F(LateStartCopiesTest, AFailedTaskRestartsAtOnceAndNoMachineIsReturnedOnALosslessNetwork) {
+  start_job(3, job_record("req-1", 1));
+  fail_task(machine_of(task_), task_);
+  run_for(Seconds(4));  // the heartbeat that lists the failure is at most 3 s away
+  EXPECT_EQ(copies_of(task_), 1U);
+  EXPECT_TRUE(controller_->ended_attempts().empty());
+  run_for(Seconds(60));
+  EXPECT_EQ(scale_in_causes_.find("delayed start"), std::string::npos) << scale_in_causes_;
+}
+
+TEST_F(LateStartCopiesTest, AFailedTaskIsHeldWhileTheStoreProvesNoRevisionAndItsMachineIsKept) {
+  start_job(3, job_record("req-1", 1));
+  const auto first = machine_of(task_);
+  ASSERT_TRUE(controller_->tokens().is_exhausted(first));
+  store_answers_ = false;
+  fail_task(first, task_);
+  run_for(Seconds(20));
+  EXPECT_EQ(copies_of(task_), 0U) << "a copy of its start may still run it";
+  EXPECT_FALSE(returned_machines_.contains(first)) << scale_in_causes_;
+  prove_leadership();
+  run_for(Seconds(1));
+  EXPECT_EQ(copies_of(task_), 1U);
+}
+
+TEST_F(LateStartCopiesTest, AHeldTaskOnAMachineThatIsNotReachedRestartsElsewhereAfterItsReturn) {
+  start_job(3, job_record("req-1", 1));
+  const auto first = machine_of(task_);
+  agents_[first].receives_commands = false;
+  fail_task(first, task_);
+  run_for(agent_times_.lease * 0.2);
+  EXPECT_EQ(copies_of(task_), 0U) << "a copy of its start may still run it";
+  run_for(agent_times_.lease * 0.5);
+  EXPECT_EQ(copies_of(task_), 1U);
+  EXPECT_TRUE(returned_machines_.contains(first));
+}
+
+TEST_F(LateStartCopiesTest, ATokenThatNobodyChoseIsNoReasonToResignAndItsAgentIsStillCommanded) {
+  start_job(3, job_record("req-1", 1));
+  const auto first = machine_of(task_);
+  for (int i = 0; i < 3; ++i) prove_leadership();
+  agents_[first].token = revision_ - 1;
+  ASSERT_GT(agents_[first].token, controller_->tokens().of(first));
+  run_for(kSettlingTime);
+  EXPECT_FALSE(first_resignation_);
+  controller_->job_closed("req-1", now_);
+  run_for(kSettlingTime);
+  EXPECT_EQ(copies_of(task_), 0U);
+}
+
+TEST_F(LateStartCopiesTest, ATokenAboveEveryProvenRevisionIsOfALaterLeader) {
+  start_job(3, job_record("req-1", 1));
+  agents_[machine_of(task_)].token = revision_;
+  run_for(kSettlingTime);
+  EXPECT_TRUE(first_resignation_);
+}
+
+TEST_F(LateStartCopiesTest, AnAgentThatHasForgottenItsTokenIsShownItAgain) {
+  start_job(3, job_record("req-1", 1));
+  const auto first = machine_of(task_);
+  fail_task(first, task_);
+  run_for(kSettlingTime);
+  const auto token = agents_[first].token;
+  ASSERT_GT(token, kToken);
+  agents_[first].token = 0;
+  run_for(kSettlingTime);
+  EXPECT_GE(agents_[first].token, token);
+  EXPECT_FALSE(first_resignation_);
+}
+
 }  // namespace
 }  // namespace violetpulley::core
--- a/tests/end_to_end/late_start_copies_test.cpp
+++ b/tests/end_to_end/late_start_copies_test.cpp
@@ -55,7 +55,7 @@
   }
   std::string kill_leader() {
     wait_until("a leader", [&] { return processes_.contains(state_.leader()); });
-    const auto leader = state_.leader();
+    auto leader = state_.leader();
     kill_node(leader);
     return leader;
   }
--- a/tests/end_to_end/loopback.hpp
+++ b/tests/end_to_end/loopback.hpp
@@ -24,11 +24,8 @@
 class Loopback : public ::testing::Test {
  protected:
   Loopback() : state_(io_), cloud_(io_, {}) {
-    std::vector<asio::ip::tcp::acceptor> taken;
-    const auto port = [&] {
-      taken.emplace_back(io_, fakes::any_port());
-      return fakes::text_of(taken.back().local_endpoint());
-    };
+    fakes::UnusedPorts ports(io_);
+    const auto port = [&] { return fakes::text_of(ports.next()); };
     std::map<std::string, std::string> nodes;
     for (const char* name : {"n-0", "n-1", "n-2"}) {
       public_addresses_[name] = port();
@@ -37,7 +34,7 @@
       nodes[name] = public_addresses_[name];
     }
     cloud_.set_node_addresses(nodes);
-    taken.clear();
+    ports.release();
     for (const auto& [name, address] : public_addresses_) start(name);
   }
 
--- a/tests/golden/golden_history_test.cpp
+++ b/tests/golden/golden_history_test.cpp
@@ -243,5 +243,23 @@
   }
 }
 
+TEST(GoldenHistory, MachineTokensDecodeAndEncodeAsInTheGoldenFile) {
+  for (const auto& item : cases_of("machine_tokens.json")) {
+    const auto bytes = from_hex(text_field(item, "part"));
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    core::MachineTokens tokens(item.at("start").get<core::FencingToken>());
+    history::read(handle.get(), tokens);
+    EXPECT_EQ(pack_to_hex(tokens), text_field(item, "part"));
+    const auto machine = text_field(item, "machine");
+    EXPECT_EQ(tokens.of(machine), item.at("sent").get<core::FencingToken>());
+    EXPECT_TRUE(tokens.may_run_again(machine, item.at("attempt").get<core::Attempt>()));
+    ASSERT_NE(tokens.fence_request(machine), nullptr);
+    EXPECT_EQ(tokens.fence_request(machine)->since.time_since_epoch().count(),
+              item.at("requested_at_ns").get<std::int64_t>());
+    const core::Event event = core::LeadershipProven{item.at("limit").get<core::Revision>()};
+    EXPECT_EQ(pack_to_hex(event), text_field(item, "event"));
+  }
+}
+
 }  // namespace
 }  // namespace violetpulley::golden
--- a/tests/simulation/command_copies.hpp
+++ b/tests/simulation/command_copies.hpp
@@ -3,6 +3,7 @@
 /// time later. Owns the batches that each agent carried out recently.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -13,10 +14,13 @@
 
 namespace violetpulley::core::simulated {
 
-/// A command batch, and the fencing token with which it was sent.
+/// A command batch of a leader.
 struct SentBatch {
-  FencingToken token = 0;
+  FencingToken leader = 0;  ///< revision of the leader's key
   SendCommands batch;
+
+  /// The fencing token that the batch carries.
+  FencingToken token() const { return std::max(leader, batch.raised_token); }
 };
 
 /// Decides which batches arrive again, and when.
--- a/tests/simulation/fleet_agents.cpp
+++ b/tests/simulation/fleet_agents.cpp
@@ -96,6 +96,10 @@
       << "ran_twice " << key.job << "/" << key.index;
 }
 
+void FleetAgents::record_list(std::size_t tasks) {
+  result_.max_listed_tasks = std::max(result_.max_listed_tasks, tasks);
+}
+
 void FleetAgents::kill(FleetAgent& agent) {
   agent.dead = true;
   agent.tasks.clear();
--- a/tests/simulation/fleet_agents.hpp
+++ b/tests/simulation/fleet_agents.hpp
@@ -27,6 +27,7 @@
   std::uint64_t epoch = 1;
   std::uint64_t heartbeat_sequence = 0;
   FencingToken token = 0;
+  TimePoint token_reported{};             ///< when a higher token last caused a heartbeat
   std::size_t node = 0;                   ///< index of the controller it sends heartbeats to
   bool connected = false;                 ///< to `node`
   std::uint64_t heartbeat_in_flight = 0;  ///< number of the heartbeat that is not answered; 0: none
@@ -54,6 +55,8 @@
   bool step(FleetAgent& agent);
   /// Executes a command. A second live attempt of a task fails the test.
   void execute(FleetAgent& agent, const Command& command);
+  /// Records how many tasks a heartbeat lists.
+  void record_list(std::size_t tasks);
   /// Marks the machine as dead and drops its tasks.
   void kill(FleetAgent& agent);
   /// Closes the agent's heartbeat connection.
--- a/tests/simulation/fleet_config.hpp
+++ b/tests/simulation/fleet_config.hpp
@@ -37,7 +37,8 @@
   Seconds recovery_time{-1};               ///< of the last failover; negative: recovery not ended
   ReconciliationCost reconciliation_cost;  ///< of the last reconciliation
   ReconciliationStats stats;
-  Seconds max_event_delay{0};  ///< longest wait of an event for the processor
+  std::size_t max_listed_tasks = 0;  ///< in one heartbeat, exited ones included
+  Seconds max_event_delay{0};        ///< longest wait of an event for the processor
 };
 
 }  // namespace violetpulley::core::fleet_simulation
--- a/tests/simulation/fleet_heartbeats.cpp
+++ b/tests/simulation/fleet_heartbeats.cpp
@@ -47,20 +47,30 @@
 void FleetHeartbeats::receive(FleetAgent& agent, std::uint64_t number, TimePoint sent,
                               const Heartbeat& heartbeat) {
   auto& controller = leader_.controller();
+  agents_.record_list(heartbeat.tasks.size());
   controller.heartbeat(heartbeat, environment_.now());
   if (agent.heartbeat_in_flight != number) return;
   const auto max_connections = controller.commands().shares().heartbeats;
   agent.heartbeat_in_flight = 0;
   if (nodes_.leading().heartbeat_connections > max_connections) agents_.disconnect(agent);
-  if (leader_.token() > agent.token)
-    agent.next_heartbeat = environment_.now() + kNewLeaderHeartbeatDelay;
-  agent.token = leader_.token();
+  const auto token = controller.response_token(agent.id);
+  if (token < agent.token) return;
+  if (token > agent.token) report_token(agent);
+  agent.token = token;
   agent.lease_renewed = sent;
   if (agent.epoch != heartbeat.epoch) return;
   for (const auto& command : controller.response_commands(heartbeat))
     agents_.execute(agent, command);
 }
 
+// PROTOCOL: a higher token is a change that is reported soon, at most once per half lease.
+void FleetHeartbeats::report_token(FleetAgent& agent) const {
+  const auto now = environment_.now();
+  if (now - agent.token_reported < to_duration(kAgentTimes.lease / 2)) return;
+  agent.token_reported = now;
+  agent.next_heartbeat = std::min(agent.next_heartbeat, now + kNewLeaderHeartbeatDelay);
+}
+
 void FleetHeartbeats::time_out(FleetAgent& agent, std::uint64_t number) {
   if (agent.heartbeat_in_flight != number) return;
   agents_.disconnect(agent);
--- a/tests/simulation/fleet_heartbeats.hpp
+++ b/tests/simulation/fleet_heartbeats.hpp
@@ -24,6 +24,8 @@
   /// the leader, or tries the next controller if no leader is known.
   void redirect(FleetAgent& agent);
   void receive(FleetAgent& agent, std::uint64_t number, TimePoint sent, const Heartbeat& heartbeat);
+  /// Brings the next heartbeat forward because the agent has seen a higher token.
+  void report_token(FleetAgent& agent) const;
   void time_out(FleetAgent& agent, std::uint64_t number);
 
   FleetEnvironment& environment_;
--- a/tests/simulation/fleet_leader.cpp
+++ b/tests/simulation/fleet_leader.cpp
@@ -9,6 +9,8 @@
 constexpr TaskIndex kTasksPerJob = 20;
 constexpr std::size_t kFirstJobNumber = 100000;
 constexpr double kMachineCpus = 16;
+constexpr double kMachineMemory = 128;  // GB
+constexpr double kTaskMemory = 8;       // GB, less if as many tasks have to fit
 constexpr double kCloudCallsPerSecond = 10;
 constexpr std::size_t kUnlimitedSockets = 1'000'000;
 constexpr std::chrono::seconds kFormerLeaseTime{45};
@@ -34,7 +36,9 @@
   record.spec.job_class = "tiles";
   record.spec.team = "blue";
   record.spec.tasks = kTasksPerJob;
-  record.spec.per_task = {kMachineCpus / static_cast<double>(config_.tasks_per_machine), 0, 8};
+  const auto tasks_per_machine = static_cast<double>(config_.tasks_per_machine);
+  record.spec.per_task = {kMachineCpus / tasks_per_machine, 0,
+                          std::min(kTaskMemory, kMachineMemory / tasks_per_machine)};
   record.spec.image = "i";
   record.spec.spot_allowed = true;
   record.spec.estimate = config_.run_time;
@@ -49,8 +53,9 @@
   result_.recovery_time = Seconds(-1);
   controller_ = std::make_unique<Controller>(
       make_settings(), token_, elected_at_, elected_at_ + kFormerLeaseTime, read_recovered_state());
+  controller_->leadership_proven(token_);
   controller_->set_catalog({{kMachineType,
-                             {kMachineCpus, 0, 128},
+                             {kMachineCpus, 0, kMachineMemory},
                              60,
                              0.5,
                              1.1,
@@ -133,8 +138,9 @@
 }
 
 void FleetLeader::deliver(FleetAgent& agent, const SendCommands& batch, FencingToken token) {
-  if (token >= agent.token && batch.epoch == agent.epoch) {
-    agent.token = token;
+  const auto batch_token = std::max(token, batch.raised_token);
+  if (batch_token >= agent.token && batch.epoch == agent.epoch) {
+    agent.token = batch_token;
     for (const auto& command : batch.commands) agents_.execute(agent, command);
   }
   const auto heartbeat = agent.make_heartbeat();
@@ -155,6 +161,7 @@
 
 void FleetLeader::execute(const SaveMachine& save) {
   machines_[save.record.id] = save.record;
+  controller_->leadership_proven(++revision_);
   controller_->machine_saved(save.record.id, !save.record.endpoint.empty(), true);
 }
 
@@ -162,6 +169,7 @@
 
 void FleetLeader::execute(const SaveProgress& save) {
   progress_[{save.record.job, save.record.chunk}] = save.record;
+  controller_->leadership_proven(++revision_);
   controller_->progress_saved(save, true);
 }
 
--- a/tests/simulation/fleet_simulation_test.cpp
+++ b/tests/simulation/fleet_simulation_test.cpp
@@ -19,9 +19,9 @@
              << " requested machines " << result.requested_machines << " returned "
              << result.returned_machines << " recovered after " << result.recovery_time.count()
              << " s, blocked on reconciliation " << result.reconciliation_cost.total().count()
-             << " task-s, adopted " << result.stats.adopted
-             << ", longest wait of an event for the processor " << result.max_event_delay.count()
-             << " s\n";
+             << " task-s, adopted " << result.stats.adopted << ", longest task list "
+             << result.max_listed_tasks << ", longest wait of an event for the processor "
+             << result.max_event_delay.count() << " s\n";
 }
 
 // Runs a fleet and ends its leader, or all controllers, `times` times, every 8 s.
@@ -142,6 +142,27 @@
   EXPECT_EQ(result.started_attempts, config.machines * config.tasks_per_machine / 2);
 }
 
+/// Many short tasks on each machine.
+FleetConfig short_tasks(std::size_t machines) {
+  FleetConfig config;
+  config.machines = machines;
+  config.tasks_per_machine = 64;
+  config.run_time = Seconds(35);
+  config.backlog_share = 4;
+  return config;
+}
+
+// An exited attempt is listed until it is acknowledged, and a heartbeat holds 64 KiB at most.
+TEST(FleetSimulation, AgentsListNoMoreEndedAttemptsThanTheyRunShortTasks) {
+  const auto config = short_tasks(50);
+  FleetSimulation fleet(config);
+  fleet.run(Seconds(100));
+  const auto result = fleet.result();
+  std::cout << result;
+  EXPECT_GT(result.completed, 2 * config.machines * config.tasks_per_machine);
+  EXPECT_LE(result.max_listed_tasks, 2 * config.tasks_per_machine);
+}
+
 // Prints the figures for docs/reconciliation.md. Runs only with VIOLETPULLEY_STORM_SIZES=1.
 TEST(FleetSimulation, PrintsFailoverFiguresOfSeveralFleetSizes) {
   if (std::getenv("VIOLETPULLEY_STORM_SIZES") == nullptr)
--- a/tests/simulation/leaders.cpp
+++ b/tests/simulation/leaders.cpp
@@ -51,6 +51,7 @@
                             current_->leadership.former_leases_end(now), read_recovered_state()};
   current_->controller = make_controller(event, now);
   if (observer_.event) observer_.event(current_->token, now, event);
+  feed(*current_, LeadershipProven{current_->token});
   feed(*current_, CatalogReceived{machine_types()});
   report_former_leaders_gone();
 }
@@ -88,6 +89,11 @@
   apply(*leader.controller, event, environment_.now());
 }
 
+void Leaders::write_committed(FencingToken token) {
+  const auto revision = ++store_.revision;
+  if (auto* leader = find(token)) feed(*leader, LeadershipProven{revision});
+}
+
 void Leaders::save_learned_state() {
   if (learned_state_handover_enabled_ && current_)
     learned_state_ =
--- a/tests/simulation/leaders.hpp
+++ b/tests/simulation/leaders.hpp
@@ -77,6 +77,9 @@
   /// Returns the leader with that token, or null once the leader has ended.
   LeaderProcess* find(FencingToken token);
   void feed(LeaderProcess& leader, const Event& event);
+  /// Tells the leader with that token, if it still exists, that a write conditioned on its key was
+  /// committed, and advances the store's revision by that write.
+  void write_committed(FencingToken token);
   /// Whether messages from the leader reach the machine.
   bool reaches(const LeaderProcess& leader, const MachineId& id) const;
   /// Returns the leader that receives the machine's heartbeats; may be null.
--- a/tests/simulation/network.cpp
+++ b/tests/simulation/network.cpp
@@ -24,50 +24,46 @@
 }  // namespace
 
 void Network::send_commands(const LeaderProcess& leader, const SendCommands& batch) {
-  const auto token = leader.token;
+  const SentBatch sent{leader.token, batch};
   if (leaders_.reaches(leader, batch.machine) && !environment_.chance(environment_.message_loss()))
-    return deliver_after(environment_.uniform_seconds(kMinLatency, kMaxCommandLatency), token,
-                         batch, true);
-  report_unanswered_later(token, batch.machine);
+    return deliver_after(environment_.uniform_seconds(kMinLatency, kMaxCommandLatency), sent, true);
+  report_unanswered_later(sent.leader, batch.machine);
   if (environment_.chance(kLateCommandsChance))
-    deliver_after(environment_.uniform_seconds(kMinLateCommandDelay, kMaxLateDelay), token, batch,
-                  false);
+    deliver_after(environment_.uniform_seconds(kMinLateCommandDelay, kMaxLateDelay), sent, false);
 }
 
-void Network::report_unanswered(FencingToken token, const MachineId& id) {
-  if (auto* leader = leaders_.find(token))
+void Network::report_unanswered(FencingToken leader_token, const MachineId& id) {
+  if (auto* leader = leaders_.find(leader_token))
     leaders_.feed(*leader, CommandsAnswered{id, std::nullopt});
 }
 
-void Network::report_unanswered_later(FencingToken token, const MachineId& id) {
-  environment_.after(kAnswerTimeout, [this, token, id] { report_unanswered(token, id); });
+void Network::report_unanswered_later(FencingToken leader_token, const MachineId& id) {
+  environment_.after(kAnswerTimeout,
+                     [this, leader_token, id] { report_unanswered(leader_token, id); });
 }
 
-void Network::deliver_after(Seconds delay, FencingToken token, const SendCommands& batch,
-                            bool awaits_answer) {
-  environment_.after(delay,
-                     [this, token, batch, awaits_answer] { deliver(token, batch, awaits_answer); });
+void Network::deliver_after(Seconds delay, const SentBatch& sent, bool awaits_answer) {
+  environment_.after(delay, [this, sent, awaits_answer] { deliver(sent, awaits_answer); });
 }
 
-void Network::deliver(FencingToken token, const SendCommands& batch, bool awaits_answer) {
+void Network::deliver(const SentBatch& sent, bool awaits_answer) {
   const auto now = environment_.now();
+  const auto& batch = sent.batch;
   auto* agent = fleet_.find(batch.machine);
   if (agent == nullptr || !agent->up(now)) {
-    if (awaits_answer) report_unanswered(token, batch.machine);
+    if (awaits_answer) report_unanswered(sent.leader, batch.machine);
     return;
   }
-  if (agent->partitioned_inbound(now)) return deliver_after_partition(token, batch, awaits_answer);
-  if (agent->hangs(now)) return deliver_after_hang(token, batch, awaits_answer);
-  if (token >= agent->token && batch.epoch == agent->epoch) {
-    agent->token = token;
+  if (agent->partitioned_inbound(now)) return deliver_after_partition(sent, awaits_answer);
+  if (agent->hangs(now)) return deliver_after_hang(sent, awaits_answer);
+  if (sent.token() >= agent->token && batch.epoch == agent->epoch) {
+    agent->token = sent.token();
     for (const auto& command : batch.commands) runner_.execute(*agent, command);
-    if (awaits_answer) copies_.carried_out({token, batch});
+    if (awaits_answer) copies_.carried_out(sent);
   }
-  if (awaits_answer) answer_commands(token, *agent);
+  if (awaits_answer) answer_commands(sent.leader, *agent);
 }
 
-void Network::deliver_copy(const SentBatch& sent) { deliver(sent.token, sent.batch, false); }
-
 void Network::deliver_copies_after_restarts() {
   const bool elected = leaders_.elections() != elections_seen_;
   elections_seen_ = leaders_.elections();
@@ -78,29 +74,29 @@
   }
 }
 
-void Network::deliver_after_partition(FencingToken token, const SendCommands& batch,
-                                      bool awaits_answer) {
+void Network::deliver_after_partition(const SentBatch& sent, bool awaits_answer) {
   ++blocked_batches_;
-  if (awaits_answer) report_unanswered_later(token, batch.machine);
-  const Seconds rest = fleet_.find(batch.machine)->inbound_partition_until - environment_.now();
+  const auto& machine = sent.batch.machine;
+  if (awaits_answer) report_unanswered_later(sent.leader, machine);
+  const Seconds rest = fleet_.find(machine)->inbound_partition_until - environment_.now();
   if (environment_.optional_fault_chance(kCommandsAfterPartitionChance))
-    deliver_after(rest + kDelayAfterRecovery, token, batch, false);
+    deliver_after(rest + kDelayAfterRecovery, sent, false);
 }
 
-void Network::deliver_after_hang(FencingToken token, const SendCommands& batch,
-                                 bool awaits_answer) {
-  const Seconds rest = fleet_.find(batch.machine)->hangs_until - environment_.now();
-  deliver_after(rest + kDelayAfterRecovery, token, batch, false);
-  if (awaits_answer) report_unanswered_later(token, batch.machine);
+void Network::deliver_after_hang(const SentBatch& sent, bool awaits_answer) {
+  const auto& machine = sent.batch.machine;
+  const Seconds rest = fleet_.find(machine)->hangs_until - environment_.now();
+  deliver_after(rest + kDelayAfterRecovery, sent, false);
+  if (awaits_answer) report_unanswered_later(sent.leader, machine);
 }
 
-void Network::answer_commands(FencingToken token, SimulatedAgent& agent) {
+void Network::answer_commands(FencingToken leader_token, SimulatedAgent& agent) {
   const auto heartbeat = agent.make_heartbeat(environment_.now());
   if (environment_.chance(environment_.message_loss()))
-    return report_unanswered_later(token, agent.id);
+    return report_unanswered_later(leader_token, agent.id);
   environment_.after(environment_.uniform_seconds(kMinLatency, kMaxLatency),
-                     [this, token, heartbeat] {
-                       if (auto* leader = leaders_.find(token))
+                     [this, leader_token, heartbeat] {
+                       if (auto* leader = leaders_.find(leader_token))
                          leaders_.feed(*leader, CommandsAnswered{heartbeat.machine, heartbeat});
                      });
 }
@@ -141,8 +137,8 @@
   auto* leader = leaders_.receiver_of(id);
   if (leader == nullptr || !leader->leadership.may_serve(now)) return follow_next_controller(id);
   leaders_.feed(*leader, HeartbeatReceived{heartbeat});
-  const auto token = leader->token;
-  if (heartbeat.token > token) return follow_next_controller(id);
+  if (!leader->controller->is_known_token(heartbeat.token)) return follow_next_controller(id);
+  const auto token = leader->controller->response_token(id);
   const auto commands = leader->controller->response_commands(heartbeat);
   const auto* agent = fleet_.find(id);
   if (agent != nullptr && agent->partitioned_inbound(now)) return;
--- a/tests/simulation/network.hpp
+++ b/tests/simulation/network.hpp
@@ -17,7 +17,7 @@
         leaders_(leaders),
         fleet_(fleet),
         runner_(runner),
-        copies_(environment, [this](const SentBatch& sent) { deliver_copy(sent); }) {}
+        copies_(environment, [this](const SentBatch& sent) { deliver(sent, false); }) {}
 
   /// Sends a command batch of the leader.
   void send_commands(const LeaderProcess& leader, const SendCommands& batch);
@@ -36,16 +36,14 @@
   std::size_t blocked_batches() const { return blocked_batches_; }
 
  private:
-  void report_unanswered(FencingToken token, const MachineId& id);
-  void report_unanswered_later(FencingToken token, const MachineId& id);
+  void report_unanswered(FencingToken leader_token, const MachineId& id);
+  void report_unanswered_later(FencingToken leader_token, const MachineId& id);
   /// `awaits_answer`: the sender still waits for the answer.
-  void deliver(FencingToken token, const SendCommands& batch, bool awaits_answer);
-  void deliver_after(Seconds delay, FencingToken token, const SendCommands& batch,
-                     bool awaits_answer);
-  void deliver_after_partition(FencingToken token, const SendCommands& batch, bool awaits_answer);
-  void deliver_after_hang(FencingToken token, const SendCommands& batch, bool awaits_answer);
-  void answer_commands(FencingToken token, SimulatedAgent& agent);
-  void deliver_copy(const SentBatch& sent);
+  void deliver(const SentBatch& sent, bool awaits_answer);
+  void deliver_after(Seconds delay, const SentBatch& sent, bool awaits_answer);
+  void deliver_after_partition(const SentBatch& sent, bool awaits_answer);
+  void deliver_after_hang(const SentBatch& sent, bool awaits_answer);
+  void answer_commands(FencingToken leader_token, SimulatedAgent& agent);
   void deliver_late_copy(const Heartbeat& heartbeat);
   void deliver_late(const Heartbeat& heartbeat);
   void receive(const Heartbeat& heartbeat, TimePoint sent);
--- a/tests/simulation/store_writer.cpp
+++ b/tests/simulation/store_writer.cpp
@@ -29,6 +29,7 @@
         const bool provisioning_only = record.endpoint.empty();
         if (ok && (!provisioning_only || !store_.machines.contains(record.id)))
           store_.machines[record.id] = record;
+        if (ok) leaders_.write_committed(token);
         if (auto* leader = leaders_.find(token))
           leaders_.feed(*leader, MachineSaved{record.id, !provisioning_only, ok});
       });
@@ -37,7 +38,9 @@
 void StoreWriter::execute(FencingToken token, const DeleteMachine& deletion) {
   store_.write(token, environment_.uniform_seconds(kMinWriteTime, kMaxWriteTime),
                [this, token, deletion] {
-                 if (store_.accepts(token)) store_.machines.erase(deletion.id);
+                 if (!store_.accepts(token)) return;
+                 store_.machines.erase(deletion.id);
+                 leaders_.write_committed(token);
                });
 }
 
@@ -49,6 +52,7 @@
                  // The answer may be lost although the write took effect.
                  if (auto* leader = leaders_.find(token)) {
                    const bool answered = ok && !environment_.chance(environment_.message_loss());
+                   if (answered) leaders_.write_committed(token);
                    leaders_.feed(*leader, ProgressSaved{save, answered});
                  }
                });
@@ -72,6 +76,7 @@
   store_.write(token, environment_.uniform_seconds(kMinWriteTime, longest), [this, token, save] {
     if (!store_.accepts(token)) return;
     save_newer_placements(token, save.record, save.version);
+    leaders_.write_committed(token);
     if (auto* leader = leaders_.find(token))
       leaders_.feed(*leader, PlacementsSaved{save.record.job, save.version});
   });
--- a/tests/support/leader_with_agents.hpp
+++ b/tests/support/leader_with_agents.hpp
@@ -61,8 +61,13 @@
     controller_ =
         std::make_unique<Controller>(settings, kToken, now_, now_ + seconds(60), recovered);
     controller_->set_catalog({{"bench", {16, 0, 128}, 60, 0.5, 1.1, 0.39, Seconds(30), {"a"}}});
+    if (raises_tokens_) prove_leadership();
     heartbeats_start_ = now_;
   }
+  /// A write of the leader was committed.
+  void prove_leadership() {
+    if (raises_tokens_) controller_->leadership_proven(revision_++);
+  }
   static MachineId machine_id(int i) { return std::to_string(100 + i).insert(0, 1, 'm'); }
   WallTime wall_now() const {
     return WallTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()));
@@ -153,8 +158,9 @@
     if (!agent.sends_heartbeats) return;
     controller_->heartbeat(heartbeat, now_);
     const auto commands = controller_->response_commands(heartbeat);
-    if (!agent.receives_commands) return;
-    agent.token = kToken;
+    const auto token = controller_->response_token(id);
+    if (!agent.receives_commands || token < agent.token) return;
+    agent.token = token;
     agent.lease_renewed_at = now_;
     execute(agent, commands);
   }
@@ -193,9 +199,11 @@
       deliver(*batch);
     } else if (const auto* save = std::get_if<SaveMachine>(&action)) {
       saved_machines_.insert(save->record.id);
+      if (store_answers_) prove_leadership();
       if (store_answers_ && !save->record.endpoint.empty())
         controller_->machine_saved(save->record.id, true, true);
     } else if (const auto* progress = std::get_if<SaveProgress>(&action)) {
+      prove_leadership();
       controller_->progress_saved(*progress, true);
     } else if (const auto* finish = std::get_if<FinishJob>(&action)) {
       finished_jobs_.insert(finish->job);
@@ -237,8 +245,9 @@
   /// Carries out a batch unless the agent refuses its epoch or its fencing token; returns whether
   /// it was carried out.
   bool carry_out(Agent& agent, const SendCommands& batch) {
-    if (batch.epoch != agent.epoch || kToken < agent.token) return false;
-    agent.token = kToken;
+    const auto token = std::max(kToken, batch.raised_token);
+    if (batch.epoch != agent.epoch || token < agent.token) return false;
+    agent.token = token;
     execute(agent, batch.commands);
     return true;
   }
@@ -278,6 +287,8 @@
   TimePoint heartbeats_start_{};
   Seconds idle_wait_{10'000};
   std::vector<ProgressRecord> recovered_progress_;  ///< progress records that the leader recovers
+  bool raises_tokens_ = false;  ///< false: as a program that does not raise fencing tokens
+  Revision revision_ = kToken;  ///< of the store
   bool serving_ = true;
   bool resigns_when_isolated_ = true;
   std::unique_ptr<Controller> controller_;
