A done task counts against its team's limit until no copy of its start can repeat it

What callers would see: a team above its limit (quota). The job had ended, so nothing counted it. The other path of the same cause: only a done task whose start was never answered was counted.

Change: every done task whose attempt is not fenced counts until it is. So that this is rare, an answer to a heartbeat that finds starts which the agent has listed carries a raised token already: attempts are fenced while they run, without a message more.

--- a/src/core/dispatch/command_dispatcher.cpp
+++ b/src/core/dispatch/command_dispatcher.cpp
@@ -127,8 +127,14 @@
 }
 
 void CommandDispatcher::prepare_response(const Machine& machine) {
+  if (!machine.confirmed || tokens_.unfenced(machine.id) == nullptr) return;
   if (machine.commands_in_flight && !machine.starts_in_flight.empty()) return;
-  raise_token_if_needed(machine);
+  const auto& statuses = machine.task_statuses;
+  const bool fences_attempts =
+      std::any_of(statuses.begin(), statuses.end(), [&](const TaskStatus& status) {
+        return !tokens_.is_fenced_by_next_message(machine.id, status.attempt);
+      });
+  if (fences_attempts || tokens_.needs_raise(machine.id)) tokens_.raise(machine.id);
 }
 
 std::vector<Command> CommandDispatcher::response_commands(const MachineId& id,
--- a/src/core/dispatch/command_dispatcher.hpp
+++ b/src/core/dispatch/command_dispatcher.hpp
@@ -47,8 +47,9 @@
   std::vector<Command> response_commands(const MachineId& id, HeartbeatNumber heartbeat) const;
 
   /// Prepares the answer to the machine's newest heartbeat: raises the token that the answer
-  /// carries if the answer ends attempts that a copy of their start could run again. A batch with
-  /// starts that is on its way would be refused, so the token is not raised meanwhile.
+  /// carries above those of the starts that the agent has listed, so that most attempts are fenced
+  /// before they end. A batch with starts that is on its way would be refused, so the token is not
+  /// raised meanwhile.
   void prepare_response(const Machine& machine);
 
   /// Sends as many batches as the window admits; the other machines stay due. Machines with stops
--- a/src/core/failover/task_exit_handler.cpp
+++ b/src/core/failover/task_exit_handler.cpp
@@ -24,7 +24,7 @@
   auto& job = found->second;
   jobs_.before_change(job);
   if (status.cause == ExitCause::done && !job.service()) {
-    record_if_in_doubt(machine, status.task, assignment, now);
+    record_if_unfenced(machine, status.task, assignment, EndedTask::done, now);
     return handle_completion(machine, assignment, job, status.task.index, now);
   }
   requeue(machine, status.task, assignment, job, now);
@@ -43,9 +43,8 @@
 
 void TaskExitHandler::handle_exit_of_closed_job(const Machine& machine, const TaskKey& key,
                                                 const Assignment& assignment, TimePoint now) {
-  if (!assignment.orphaned) return record_if_in_doubt(machine, key, assignment, now);
-  if (may_run_again(machine, assignment))
-    record_ended(machine, key, assignment, EndedTask::cancelled, now);
+  const auto task = assignment.orphaned ? EndedTask::cancelled : EndedTask::done;
+  record_if_unfenced(machine, key, assignment, task, now);
 }
 
 bool TaskExitHandler::may_run_again(const Machine& machine, const Assignment& assignment) const {
@@ -59,18 +58,17 @@
       key, {machine.id, assignment.attempt, assignment.team, assignment.resources, task}, now);
 }
 
-void TaskExitHandler::record_if_in_doubt(const Machine& machine, const TaskKey& key,
-                                         const Assignment& assignment, TimePoint now) {
-  if (machine.in_doubt_attempts.contains(assignment.attempt))
-    record_ended(machine, key, assignment, EndedTask::done, now);
+void TaskExitHandler::record_if_unfenced(const Machine& machine, const TaskKey& key,
+                                         const Assignment& assignment, EndedTask task,
+                                         TimePoint now) {
+  if (may_run_again(machine, assignment)) record_ended(machine, key, assignment, task, now);
 }
 
 void TaskExitHandler::handle_loss_of_done_task(Machine& machine, const TaskKey& key,
                                                TimePoint now) {
   const auto assignment = machine.tasks.at(key);
   assignments_.drop(machine, key, now);
-  if (may_run_again(machine, assignment))
-    record_ended(machine, key, assignment, EndedTask::done, now);
+  record_if_unfenced(machine, key, assignment, EndedTask::done, now);
 }
 
 void TaskExitHandler::handle_loss_of_unfenced_task(Machine& machine, const TaskKey& key,
--- a/src/core/failover/task_exit_handler.hpp
+++ b/src/core/failover/task_exit_handler.hpp
@@ -41,10 +41,9 @@
   bool may_run_again(const Machine& machine, const Assignment& assignment) const;
   void record_ended(const Machine& machine, const TaskKey& key, const Assignment& assignment,
                     EndedTask task, TimePoint now);
-  /// Records the end of a task that is done if its start was not answered. If it was, the agent
-  /// remembers the attempt until it is fenced.
-  void record_if_in_doubt(const Machine& machine, const TaskKey& key, const Assignment& assignment,
-                          TimePoint now);
+  /// Records the end if a copy of the start may run the attempt again.
+  void record_if_unfenced(const Machine& machine, const TaskKey& key, const Assignment& assignment,
+                          EndedTask task, TimePoint now);
   /// Makes the task wait for another start, or holds it if a copy of its start may run its ended
   /// attempt again.
   void requeue(Machine& machine, const TaskKey& key, const Assignment& assignment, Job& job,
--- a/tests/core/dispatch/late_start_copies_test.cpp
+++ b/tests/core/dispatch/late_start_copies_test.cpp
@@ -143,6 +143,35 @@
   expect_copies(first, task_, 1);
 }
 
+TEST_F(LateStartCopiesTest, ADoneTaskCountsAgainstItsTeamsLimitUntilACopyOfItsStartIsRefused) {
+  auto record = job_record("req-1", 2);
+  record.spec.team = "narrow";  // its limit is 8 CPUs, and each task takes 4
+  elect_leader(3, 0);
+  run_for(Seconds(2));
+  controller_->job_opened(record, now_);
+  run_for(Seconds(0.3));
+  ASSERT_EQ(running_tasks(), 2U);
+  const auto first = machine_of(task_);
+  agents_[first].receives_commands = false;
+  for (auto& [task, running] : agents_[first].tasks) running.ends = now_;
+  run_for(Seconds(4));
+  auto second = job_record("req-2", 2);
+  second.spec.team = "narrow";
+  controller_->job_opened(second, now_);
+  run_for(Seconds(2));
+  lose_tasks(first);
+  repeat_answered_starts(first);
+  EXPECT_LE(running_tasks(), 2U) << "quota: 8 CPUs at most";
+}
+
+TEST_F(LateStartCopiesTest, AnAttemptIsFencedWhileItRuns) {
+  start_job(3, job_record("req-1", 1));
+  const auto first = machine_of(task_);
+  prove_leadership();
+  run_for(Seconds(7));
+  EXPECT_EQ(controller_->tokens().unfenced(first), nullptr);
+}
+
 TEST_F(LateStartCopiesTest, AFailedTaskRestartsAtOnceAndNoMachineIsReturnedOnALosslessNetwork) {
   start_job(3, job_record("req-1", 1));
   fail_task(machine_of(task_), task_);
--- a/tests/simulation/world_test.cpp
+++ b/tests/simulation/world_test.cpp
@@ -181,7 +181,8 @@
 // Replicas of a spread service moved to and fro (docs/incidents/seed-1917.md).
 INSTANTIATE_TEST_SUITE_P(FixedFaults, CommittedStarts, ::testing::Values(1917));
 // A start that was never sent outlived its gang (docs/incidents/seed-2588.md).
-INSTANTIATE_TEST_SUITE_P(FixedFaults, CorrelatedFaults, ::testing::Values(2588, 7564));
+// 5658: a done task that a copy of its start repeated did not count against its team's limit.
+INSTANTIATE_TEST_SUITE_P(FixedFaults, CorrelatedFaults, ::testing::Values(2588, 7564, 5658));
 
 }  // namespace
 }  // namespace violetpulley::core
