Log lines and counters for a task on two machines

For on-call: the start of a task that was on another machine, with attempt, token, the former attempt's end and why the start is allowed; a machine that runs an attempt it was told to forget; a fencing token that nobody expected.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -16,11 +16,11 @@
       registry_(out_, fleet_),
       tokens_(token),
       commands_(settings_.sockets, settings_.tuning.max_commands_in_flight, out_, fleet_, jobs_,
-                tokens_),
+                tokens_, audit_),
       ended_attempts_(tokens_),
-      assignments_(out_, fleet_, jobs_, recovery_, ended_attempts_),
+      assignments_(out_, fleet_, jobs_, recovery_, ended_attempts_, audit_),
       task_starter_(settings_, catalog_, fleet_, jobs_, commands_, forecaster_, recovery_,
-                    ended_attempts_, token),
+                    ended_attempts_, tokens_, audit_, token),
       reconciler_(settings_, catalog_, fleet_, jobs_, recovery_, commands_, task_starter_, now),
       offerings_(catalog_),
       learned_state_handover_(settings_, fleet_, jobs_, estimator_, offerings_),
@@ -35,7 +35,7 @@
              reconciler_, assignments_, registry_, now),
       heartbeats_(settings_, out_, catalog_, fleet_, failure_detector_, jobs_, estimator_,
                   forecaster_, recovery_, reconciler_, registry_, commands_, assignments_,
-                  gang_scheduler_, ended_attempts_, tokens_, token),
+                  gang_scheduler_, ended_attempts_, tokens_, audit_, token),
       doubt_resolver_(settings_, fleet_, jobs_, task_starter_, ended_attempts_, tokens_),
       consolidation_(settings_, catalog_, fleet_, jobs_, commands_, bindings_, scarcity_, watch_),
       replica_consolidation_(settings_, out_, fleet_, jobs_, commands_, task_starter_, bindings_),
@@ -97,6 +97,7 @@
   // because of a cancellation, `finish_answered` handles that.
   if (!found->second.complete() || !found->second.finishing) ended_attempts_.cancel_job(id, now);
   gang_scheduler_.job_closed(id);
+  audit_.job_closed(id);
   jobs_.close(id);
 }
 
@@ -138,13 +139,14 @@
 // ended.
 void Controller::forget_returned_machine(Machine& machine, TimePoint now) {
   const MachineId id = machine.id;
-  assignments_.requeue_all(machine, now);
+  assignments_.requeue_all(machine, EndProof::machine_returned, now);
   gang_scheduler_.machine_gone(machine);
   bindings_.machine_gone(id);
   recovery_.confirm(id);
   commands_.machine_returned(machine);
   registry_.released(id);
   tokens_.erase(id);
+  audit_.machine_gone(id);
   fleet_.erase(id);
 }
 
@@ -209,7 +211,9 @@
   return JobCounts{found->second.done_count, found->second.running_count};
 }
 
-std::string Controller::summary() const { return summary_line(jobs_, fleet_, recovery_); }
+std::string Controller::summary() const {
+  return summary_line(jobs_, fleet_, recovery_) + attempts_summary(ended_attempts_, audit_);
+}
 
 void Controller::before_changes(Fleet::BeforeChange machine, Jobs::BeforeChange job) {
   fleet_.set_change_observer(std::move(machine));
--- a/src/core/controller.hpp
+++ b/src/core/controller.hpp
@@ -57,6 +57,11 @@
   /// The leader key was unchanged at this revision of the store (docs/safety.md, "An answered start
   /// can come again"). Must be called before the first command is sent.
   void leadership_proven(Revision revision);
+  /// Records for on-call that these commands are sent in the answer to a heartbeat.
+  void record_response(const MachineId& machine, const std::vector<Command>& commands,
+                       TimePoint now) {
+    audit_.response_sent(machine, commands, now);
+  }
   /// Handles the outcome of a command batch. `heartbeat`: the agent's response; null if none
   /// arrived.
   void commands_answered(const MachineId& machine, const Heartbeat* heartbeat, TimePoint now) {
@@ -115,6 +120,9 @@
   const CommandDispatcher& commands() const { return commands_; }
   const EndedAttempts& ended_attempts() const { return ended_attempts_; }
   const MachineTokens& tokens() const { return tokens_; }
+  /// What on-call needs to know of attempts, since the last call.
+  std::vector<AuditNote> take_audit_notes() { return audit_.take_notes(); }
+  const AttemptAudit& audit() const { return audit_; }
   /// Whether tasks of former leaders may still be on unconfirmed machines.
   bool recovering() const { return recovery_.recovering(); }
   /// Number of machine inspections so far; tests compare it with the number of events.
@@ -181,6 +189,7 @@
   Recovery recovery_;
   MachineRegistry registry_;
   MachineTokens tokens_;
+  AttemptAudit audit_;
   CommandDispatcher commands_;
   EndedAttempts ended_attempts_;
   Assignments assignments_;
--- a/src/core/controller_summary.cpp
+++ b/src/core/controller_summary.cpp
@@ -1,5 +1,6 @@
 #include "core/controller_summary.hpp"
 
+#include <algorithm>
 #include <map>
 #include <sstream>
 
@@ -87,4 +88,17 @@
   return text.str();
 }
 
+std::string attempts_summary(const EndedAttempts& ended_attempts, const AttemptAudit& audit) {
+  const auto& counts = audit.counts();
+  const auto held =
+      std::count_if(ended_attempts.attempts().begin(), ended_attempts.attempts().end(),
+                    [](const auto& entry) { return entry.second.task == EndedTask::held; });
+  std::ostringstream text;
+  if (held > 0) text << " held=" << held;
+  if (counts.started_elsewhere > 0) text << " started_elsewhere=" << counts.started_elsewhere;
+  if (counts.acknowledged_listed > 0) text << " acknowledged_listed=" << counts.acknowledged_listed;
+  if (counts.unexpected_tokens > 0) text << " unexpected_tokens=" << counts.unexpected_tokens;
+  return text.str();
+}
+
 }  // namespace violetpulley::core
--- a/src/core/dispatch/command_dispatcher.cpp
+++ b/src/core/dispatch/command_dispatcher.cpp
@@ -275,6 +275,7 @@
       machine.starts_in_flight.push_back(command.attempt);
       tokens_.start_sent(machine.id, command.attempt);
     }
+  audit_.batch_sent(machine.id, commands, now);
   // Batches may be empty: the response under our fencing token confirms the machine. A batch with
   // a wrong epoch is answered with a heartbeat that holds the current epoch.
   const auto epoch = std::max<AgentEpoch>(1, machine.epoch);
--- a/src/core/dispatch/command_dispatcher.hpp
+++ b/src/core/dispatch/command_dispatcher.hpp
@@ -7,6 +7,7 @@
 
 #include <set>
 
+#include "core/dispatch/attempt_audit.hpp"
 #include "core/dispatch/in_flight_window.hpp"
 #include "core/dispatch/machine_tokens.hpp"
 #include "core/dispatch/socket_budget.hpp"
@@ -27,13 +28,14 @@
   /// `max_in_flight`: the operators' limit of unanswered command batches; 0: limited by the socket
   /// share only.
   CommandDispatcher(const SocketBudget& sockets, std::size_t max_in_flight, Outbox& out,
-                    Fleet& fleet, const Jobs& jobs, MachineTokens& tokens)
+                    Fleet& fleet, const Jobs& jobs, MachineTokens& tokens, AttemptAudit& audit)
       : sockets_(sockets),
         max_in_flight_(max_in_flight),
         out_(out),
         fleet_(fleet),
         jobs_(jobs),
-        tokens_(tokens) {}
+        tokens_(tokens),
+        audit_(audit) {}
 
   /// Schedules a command batch for the machine, even if the batch is empty.
   void mark_due(const Machine& machine) { machines_due_.insert(machine.id); }
@@ -138,6 +140,7 @@
   Fleet& fleet_;
   const Jobs& jobs_;
   MachineTokens& tokens_;
+  AttemptAudit& audit_;
   std::set<MachineId> machines_due_;
   InFlightWindow window_;
 };
--- a/src/core/dispatch/task_starter.cpp
+++ b/src/core/dispatch/task_starter.cpp
@@ -116,6 +116,7 @@
   job.set_assigned(index, machine.id);
   machine.idle_since.reset();
   commands_.mark_due(machine);
+  audit_.task_placed({spec.id, index}, machine.id, attempt, tokens_.of(machine.id), now);
   return true;
 }
 
--- a/src/core/dispatch/task_starter.hpp
+++ b/src/core/dispatch/task_starter.hpp
@@ -28,7 +28,8 @@
   /// `token`: this leader's fencing token, from which its attempts are derived.
   TaskStarter(const ControllerSettings& settings, const Catalog& catalog, Fleet& fleet, Jobs& jobs,
               CommandDispatcher& commands, const DeadlineForecaster& forecaster,
-              const Recovery& recovery, const EndedAttempts& ended_attempts, FencingToken token)
+              const Recovery& recovery, const EndedAttempts& ended_attempts,
+              const MachineTokens& tokens, AttemptAudit& audit, FencingToken token)
       : settings_(settings),
         catalog_(catalog),
         fleet_(fleet),
@@ -37,6 +38,8 @@
         forecaster_(forecaster),
         recovery_(recovery),
         ended_attempts_(ended_attempts),
+        tokens_(tokens),
+        audit_(audit),
         next_attempt_((token << kAttemptCounterBits) + 1) {}
 
   /// A new attempt number, unique among the attempts of all leaders.
@@ -101,6 +104,8 @@
   const DeadlineForecaster& forecaster_;
   const Recovery& recovery_;
   const EndedAttempts& ended_attempts_;
+  const MachineTokens& tokens_;
+  AttemptAudit& audit_;
   Attempt next_attempt_;
 };
 
--- a/src/core/failover/assignments.cpp
+++ b/src/core/failover/assignments.cpp
@@ -62,23 +62,27 @@
   fleet_.assign(machine, key, std::move(assignment));
 }
 
-void Assignments::requeue(const TaskKey& key) {
+void Assignments::requeue(const TaskKey& key, EndProof proof) {
   const auto found = jobs_.find(key.job);
   if (found == jobs_.end() || key.index >= found->second.tasks.size()) return;
   jobs_.before_change(found->second);
+  audit_.end_proven(key, proof);
   found->second.set_waiting(key.index);
   if (found->second.gang()) jobs_.mark_gang_broken(key.job);
   out_.request_scheduling_round();
 }
 
-void Assignments::requeue_all(Machine& machine, TimePoint now) {
+void Assignments::requeue_all(Machine& machine, EndProof proof, TimePoint now) {
   while (!machine.tasks.empty()) {
     const auto key = machine.tasks.begin()->first;
+    const auto attempt = machine.tasks.begin()->second.attempt;
     const bool orphaned = machine.tasks.begin()->second.orphaned;
     drop(machine, key, now);
-    if (!orphaned) requeue(key);
+    if (orphaned) continue;
+    audit_.attempt_ended(key, {machine.id, attempt, ExitCause::none, now, proof});
+    requeue(key, proof);
   }
-  for (const auto& key : ended_attempts_.clear_machine(machine.id)) requeue(key);
+  for (const auto& key : ended_attempts_.clear_machine(machine.id)) requeue(key, proof);
   fleet_.before_change(machine);
   machine.task_statuses.clear();
   recovery_.clear_unassigned_copies(machine);
--- a/src/core/failover/assignments.hpp
+++ b/src/core/failover/assignments.hpp
@@ -4,6 +4,7 @@
 /// repeat (PROTOCOL, "Gangs"). Owns no state; changes jobs and machines.
 #pragma once
 
+#include "core/dispatch/attempt_audit.hpp"
 #include "core/failover/recovery.hpp"
 #include "core/jobs/jobs.hpp"
 #include "core/machines/ended_attempts.hpp"
@@ -18,12 +19,13 @@
 class Assignments {
  public:
   Assignments(Outbox& out, Fleet& fleet, Jobs& jobs, Recovery& recovery,
-              EndedAttempts& ended_attempts)
+              EndedAttempts& ended_attempts, AttemptAudit& audit)
       : out_(out),
         fleet_(fleet),
         jobs_(jobs),
         recovery_(recovery),
-        ended_attempts_(ended_attempts) {}
+        ended_attempts_(ended_attempts),
+        audit_(audit) {}
 
   /// Marks the task as running since `now`. `job`: null if the job has ended.
   void mark_running(Assignment& assignment, Job* job, TimePoint now);
@@ -33,12 +35,11 @@
   /// Resets the assignment of a task that the machine has lost to the state before its start was
   /// answered: a delayed start command may run the task again under the same attempt.
   void reset_to_unreported(Machine& machine, const TaskKey& key, TimePoint now);
-  /// Makes the task wait for another start. Requires that its former attempt is proven to have
-  /// ended.
-  void requeue(const TaskKey& key);
+  /// Makes the task wait for another start. `proof`: why its former attempt cannot run any more.
+  void requeue(const TaskKey& key, EndProof proof);
   /// Removes all assignments of a machine that has lost its tasks, and the machine's ended attempts
   /// that a delayed start could have run again; requeues the tasks of jobs that still need them.
-  void requeue_all(Machine& machine, TimePoint now);
+  void requeue_all(Machine& machine, EndProof proof, TimePoint now);
 
  private:
   void record_saved_progress(Job& job, const TaskKey& key, const Assignment& assignment,
@@ -49,6 +50,7 @@
   Jobs& jobs_;
   Recovery& recovery_;
   EndedAttempts& ended_attempts_;
+  AttemptAudit& audit_;
 };
 
 }  // namespace violetpulley::core
--- a/src/core/failover/heartbeat_handler.cpp
+++ b/src/core/failover/heartbeat_handler.cpp
@@ -60,8 +60,10 @@
 }
 
 void HeartbeatHandler::record_token(Machine& machine, const Heartbeat& heartbeat) {
-  if (tokens_.record_heartbeat(machine.id, heartbeat.token) == ShownToken::lower)
-    commands_.mark_due(machine);
+  const auto sent = tokens_.of(machine.id);
+  const auto shown = tokens_.record_heartbeat(machine.id, heartbeat.token);
+  if (shown != ShownToken::expected) audit_.token_shown({machine.id, heartbeat.token, sent, shown});
+  if (shown == ShownToken::lower) commands_.mark_due(machine);
   const auto is_fenced = [&](Attempt attempt) {
     return !tokens_.may_run_again(machine.id, attempt);
   };
@@ -82,7 +84,7 @@
            std::none_of(statuses.begin(), statuses.end(), runs);
   };
   for (const auto& task : ended_attempts_.remove_if(machine.id, is_over))
-    assignments_.requeue(task);
+    assignments_.requeue(task, EndProof::fenced);
 }
 
 void HeartbeatHandler::fence_forgotten_attempts(const Machine& machine, TimePoint now) {
@@ -124,7 +126,7 @@
 void HeartbeatHandler::update_epoch(Machine& machine, const Heartbeat& heartbeat, TimePoint now) {
   if (machine.epoch != 0 && heartbeat.epoch > machine.epoch) {
     reconciler_.count(&ReconciliationStats::new_epochs);
-    assignments_.requeue_all(machine, now);
+    assignments_.requeue_all(machine, EndProof::epoch_grown, now);
     failure_detector_.agent_restarted(machine);
     tokens_.epoch_grown(machine.id);
   }
@@ -205,7 +207,9 @@
     return assignments_.reset_to_unreported(machine, key, now);
   }
   assignments_.drop(machine, key, now);
-  if (!orphaned) assignments_.requeue(key);
+  const auto proof = tokens_.enabled() ? EndProof::fenced : EndProof::listed;
+  audit_.attempt_ended(key, {machine.id, attempt, ExitCause::none, now, proof});
+  if (!orphaned) assignments_.requeue(key, proof);
   out_.request_scheduling_round();
 }
 
@@ -238,6 +242,7 @@
                                                  UnassignedCopies::OfMachine& copies,
                                                  TimePoint now) {
   const bool is_live = status.state != TaskState::exited;
+  if (is_live) audit_.unassigned_listed(machine.id, status, now);
   const auto found = jobs_.find(status.task.job);
   if (found == jobs_.end() || status.task.index >= found->second.tasks.size()) {
     if (is_live) copies.emplace(status.task, CopyState::live);
--- a/src/core/failover/heartbeat_handler.hpp
+++ b/src/core/failover/heartbeat_handler.hpp
@@ -21,7 +21,8 @@
                    RunTimeEstimator& estimator, const DeadlineForecaster& forecaster,
                    Recovery& recovery, Reconciler& reconciler, MachineRegistry& registry,
                    CommandDispatcher& commands, Assignments& assignments, GangScheduler& gangs,
-                   EndedAttempts& ended_attempts, MachineTokens& tokens, FencingToken token)
+                   EndedAttempts& ended_attempts, MachineTokens& tokens, AttemptAudit& audit,
+                   FencingToken token)
       : out_(out),
         catalog_(catalog),
         fleet_(fleet),
@@ -35,8 +36,9 @@
         assignments_(assignments),
         ended_attempts_(ended_attempts),
         tokens_(tokens),
+        audit_(audit),
         task_exits_(settings, out, fleet, jobs, estimator, assignments, gangs, ended_attempts,
-                    tokens),
+                    tokens, audit),
         token_(token) {}
 
   /// Applies a periodic heartbeat. A fencing token of a later leader makes this leader resign; a
@@ -114,6 +116,7 @@
   Assignments& assignments_;
   EndedAttempts& ended_attempts_;
   MachineTokens& tokens_;
+  AttemptAudit& audit_;
   TaskExitHandler task_exits_;
   FencingToken token_;
 };
--- a/src/core/failover/task_exit_handler.cpp
+++ b/src/core/failover/task_exit_handler.cpp
@@ -27,6 +27,8 @@
     record_if_unfenced(machine, status.task, assignment, EndedTask::done, now);
     return handle_completion(machine, assignment, job, status.task.index, now);
   }
+  audit_.attempt_ended(status.task,
+                       {machine.id, status.attempt, status.cause, now, EndProof::none});
   requeue(machine, status.task, assignment, job, now);
   if (status.cause == ExitCause::done) {
     // A replica is meant to run until its job is cancelled; one that exits is restarted after a
@@ -80,13 +82,17 @@
     return record_ended(machine, key, assignment, EndedTask::cancelled, now);
   auto& job = found->second;
   jobs_.before_change(job);
+  audit_.attempt_ended(key, {machine.id, assignment.attempt, ExitCause::none, now, EndProof::none});
   record_ended(machine, key, assignment, EndedTask::held, now);
   if (job.gang()) jobs_.mark_gang_broken(key.job);
 }
 
 void TaskExitHandler::requeue(Machine& machine, const TaskKey& key, const Assignment& assignment,
                               Job& job, TimePoint now) {
-  if (!may_run_again(machine, assignment)) return job.set_waiting(key.index);
+  if (!may_run_again(machine, assignment)) {
+    audit_.end_proven(key, tokens_.enabled() ? EndProof::fenced : EndProof::listed);
+    return job.set_waiting(key.index);
+  }
   // The task stays assigned to its machine until a copy of its start is ruled out.
   record_ended(machine, key, assignment, EndedTask::held, now);
   if (!tokens_.enabled())
--- a/src/core/failover/task_exit_handler.hpp
+++ b/src/core/failover/task_exit_handler.hpp
@@ -14,7 +14,7 @@
  public:
   TaskExitHandler(const ControllerSettings& settings, Outbox& out, Fleet& fleet, Jobs& jobs,
                   RunTimeEstimator& estimator, Assignments& assignments, GangScheduler& gangs,
-                  EndedAttempts& ended_attempts, const MachineTokens& tokens)
+                  EndedAttempts& ended_attempts, const MachineTokens& tokens, AttemptAudit& audit)
       : settings_(settings),
         out_(out),
         fleet_(fleet),
@@ -23,7 +23,8 @@
         assignments_(assignments),
         gang_scheduler_(gangs),
         ended_attempts_(ended_attempts),
-        tokens_(tokens) {}
+        tokens_(tokens),
+        audit_(audit) {}
 
   /// Ends the assignment of a task that has exited on this machine. The assignment must exist.
   void handle(Machine& machine, const TaskStatus& status, TimePoint now);
@@ -70,6 +71,7 @@
   GangScheduler& gang_scheduler_;
   EndedAttempts& ended_attempts_;
   const MachineTokens& tokens_;
+  AttemptAudit& audit_;
 };
 
 }  // namespace violetpulley::core
--- a/src/core/machines/machine_watch.cpp
+++ b/src/core/machines/machine_watch.cpp
@@ -194,7 +194,7 @@
   // A machine that hangs does not end its tasks when its lease ends.
   if (CommandDispatcher::holds_cancelled_task(machine))
     request_release(machine, "silent with cancelled work", now);
-  assignments_.requeue_all(machine, now);
+  assignments_.requeue_all(machine, EndProof::lease_expired, now);
 }
 
 void MachineWatch::save_images(Machine& machine, Pass& pass) {
--- a/src/leader/leader.cpp
+++ b/src/leader/leader.cpp
@@ -37,6 +37,8 @@
       writer_(services.store, token_, services.settings.state_changes_per_transaction,
               store::page_bytes(services.settings),
               [this](store::Revision revision) {
+                spdlog::debug("leader key of revision {} was unchanged at revision {}", token_,
+                              revision);
                 if (controller_) feed(core::LeadershipProven{revision});
               }),
       read_barriers_(services.io, services.leadership, services.job_replica),
@@ -208,6 +210,7 @@
   for (const auto& action : actions) executor_.dispatch(action);
   writer_.flush(now);
   failover_log_.check_reconciled(*controller_, now);
+  attempt_log_.log_notes(*controller_, now);
   save_history(now);
 }
 
@@ -305,8 +308,10 @@
   // its lease expires.
   if (!controller_->is_known_token(event.heartbeat.token))
     return respond({503, R"({"error":"another controller leads"})", kHeartbeatRetryAfter});
-  auto body = agent::response_body(controller_->response_token(event.heartbeat.machine),
-                                   controller_->response_commands(event.heartbeat));
+  const auto& machine = event.heartbeat.machine;
+  const auto commands = controller_->response_commands(event.heartbeat);
+  controller_->record_response(machine, commands, now);
+  auto body = agent::response_body(controller_->response_token(machine), commands);
   // Checked again just before the response: the process may have been suspended since the first
   // check.
   if (!services_.leadership.may_serve(Clock::now())) return respond(may_not_serve);
--- a/src/leader/leader.hpp
+++ b/src/leader/leader.hpp
@@ -10,6 +10,7 @@
 #include "failover/recovered_state_reader.hpp"
 #include "history/recorder.hpp"
 #include "leader/action_executor.hpp"
+#include "leader/attempt_log.hpp"
 #include "leader/failover_log.hpp"
 #include "leader/job_verifier.hpp"
 #include "leader/summary_log.hpp"
@@ -123,6 +124,7 @@
   core::TimePoint last_list_{};
   std::set<std::string> followers_;  ///< Peers that follow this leader's key and do not lead.
   SummaryLog summary_log_;
+  AttemptLog attempt_log_;
 };
 
 }  // namespace violetpulley
--- a/src/store/election.cpp
+++ b/src/store/election.cpp
@@ -157,7 +157,8 @@
   last_response_ = Clock::now();
   leadership_.won(result.revision, lease, sent);
   leader_ = LeaderInfo{member_, peer_address_, lease, result.revision};
-  spdlog::info("won leadership with fencing token {}", result.revision);
+  spdlog::info("won leadership with fencing token {}, the revision of the leader key",
+               result.revision);
   renew_later(kRenewInterval);
   events_.leader_changed();
   events_.won();
@@ -199,7 +200,8 @@
 
 void Election::lose(const std::string& cause) {
   if (!leadership_.leading()) return;
-  spdlog::warn("lost leadership: {}", cause);
+  spdlog::warn("lost leadership: {}; leader key of revision {}, seen up to revision {}", cause,
+               leadership_.token(), applied_revision_);
   leadership_.lost();
   renew_timer_.cancel();
   if (leader_ && leader_->member == member_) leader_.reset();
