--- a/tests/core/dispatch/late_start_copies_test.cpp
+++ b/tests/core/dispatch/late_start_copies_test.cpp
@@ -191,6 +191,7 @@
   run_for(Seconds(20));
   EXPECT_EQ(copies_of(task_), 0U) << "a copy of its start may still run it";
   EXPECT_FALSE(returned_machines_.contains(first)) << scale_in_causes_;
+  EXPECT_TRUE(agents_[first].ended.contains(task_)) << "the agent must not forget the attempt yet";
   prove_leadership();
   run_for(Seconds(1));
   EXPECT_EQ(copies_of(task_), 1U);
