--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -399,6 +399,38 @@
   bool outage_ = false;
 };
 
+/// Sizes of `cadastro-aberto` in the brief.
+inline Numbers cadastro() {
+  Numbers n;
+  n.zones = {"acores", "madeira", "norte", "sul"};
+  n.lease_s = 27;
+  n.gang_wait_s = 35;
+  n.cancel_s = 47;
+  n.state_rps = 100;
+  n.state_write_rps = 25;
+  n.txn_ops = 12;
+  n.cloud_rps = 10;
+  n.max_sockets = 3000;
+  n.restart_s = 3;
+  n.teams = {{{"name", "rustica"}, {"cpus", 56.0}, {"cpus_max", 144.0}},
+             {{"name", "urbana"}, {"cpus", 120.0}, {"cpus_max", 288.0}},
+             {{"name", "geodesia"}, {"cpus", 144.0}, {"cpus_max", 288.0}},
+             {{"name", "balcao"}, {"cpus", 80.0}, {"cpus_max", 144.0}}};
+  return n;
+}
+
+/// Sizes of `cadastro-aberto-grown` (kit, next/LATER.md).
+inline Numbers cadastro_grown() {
+  auto n = cadastro();
+  n.nodes = 5;
+  n.report_s = 5;
+  n.teams = {{{"name", "rustica"}, {"cpus", 2500.0}, {"cpus_max", 6000.0}},
+             {{"name", "urbana"}, {"cpus", 5000.0}, {"cpus_max", 12000.0}},
+             {{"name", "geodesia"}, {"cpus", 6000.0}, {"cpus_max", 12000.0}},
+             {{"name", "balcao"}, {"cpus", 3500.0}, {"cpus_max", 6000.0}}};
+  return n;
+}
+
 /// What a worker must know of a job; users upload it.
 struct JobFacts {
   Json body;
@@ -465,6 +497,7 @@
   }
   bool cut_from_commands = false;
   bool cut_from_nodes = false;
+  bool sick = false;  // fails every task that it starts
   std::size_t largest_report = 0;
   std::uint64_t leases_lost = 0;
   const std::string& id() const { return id_; }
@@ -635,11 +668,12 @@
       events_.started(id_, key.first, key.second);
       changed();
       const auto& facts = jobs_.at(job_id);
-      if (facts.body.at("shape") == "service") return;
+      if (facts.body.at("shape") == "service" && !sick) return;
       const bool finished = done_.contains(key.first);
-      later(key, begun.serial, finished ? 0.01 : facts.run_s, [this, key, &facts] {
-        if (!facts.broken) done_.insert(key.first);
-        exit(key, facts.broken ? "error" : "done");
+      const bool fails = facts.broken || sick;
+      later(key, begun.serial, finished ? 0.01 : fails ? 0.2 : facts.run_s, [this, key, fails] {
+        if (!fails) done_.insert(key.first);
+        exit(key, fails ? "error" : "done");
       });
     });
   }
@@ -731,6 +765,11 @@
   Cloud(asio::io_context& io, const Numbers& numbers, Record& record)
       : io_(io), timers_(io), numbers_(numbers), record_(record), calls_(numbers.cloud_rps, 2) {}
 
+  /// Offers `bancada` in the zones of cadastro-aberto instead.
+  void offer_bancada(const std::vector<std::string>& zones) {
+    types = {{"bancada", 16, 128, 1.1, 0.39, 30, 0.12, 60, zones}};
+    capacity = {{"bancada", 28}};
+  }
   std::vector<MachineType> types{
       {"kjallari", 8, 16, 0.38, 0.12, 4, 0.6, 40, {"sudurnes"}},
       {"tunna", 64, 512, 3.72, 1.15, 4, 0.3, 40, {"sudurnes"}}};
