--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -671,7 +671,7 @@
       if (facts.body.at("shape") == "service" && !sick) return;
       const bool finished = done_.contains(key.first);
       const bool fails = facts.broken || sick;
-      later(key, begun.serial, finished ? 0.01 : fails ? 0.2 : facts.run_s, [this, key, fails] {
+      later(key, begun.serial, finished ? 0.01 : fails ? 2.0 : facts.run_s, [this, key, fails] {
         if (!fails) done_.insert(key.first);
         exit(key, fails ? "error" : "done");
       });
