review: name the sources of the cases main.cpp, and format them

Cause: review/build.sh of the earlier review builds every review/N/case.cpp with its own stand-ins and failed on the new ones. Change: main.cpp in review/4 to 7; clang-format; no change of what the cases do.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,7 +12,7 @@
 done
 wait
 pids=()
-for source in review/[4-8]/case.cpp; do
+for source in review/[4-8]/main.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   g++ "${flags[@]}" "$source" "$out/http_client.o" "$out/http_server.o" \
--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -151,7 +151,10 @@
   /// While on, this node alone gets 503; its open watches wait.
   void refuse(const std::string& node, bool on) {
     record_.line("state service: %s is %s", node.c_str(), on ? "refused (503)" : "served again");
-    if (on) refused_.insert(node); else refused_.erase(node);
+    if (on)
+      refused_.insert(node);
+    else
+      refused_.erase(node);
   }
   void outage(bool on) {
     record_.line("state service: outage %s", on ? "begins" : "ends");
@@ -197,9 +200,7 @@
     if (!requests_.take(1)) return ++refused_429, reply({429, R"({"error":"rate"})", {}});
     const double delay = answer_delay ? answer_delay(node, request) : 0;
     if (delay > 0) {
-      reply = [this, delay, reply](Response r) {
-        timers_.after(delay, [reply, r] { reply(r); });
-      };
+      reply = [this, delay, reply](Response r) { timers_.after(delay, [reply, r] { reply(r); }); };
     }
     route(node, request, reply);
   }
@@ -216,8 +217,7 @@
     if (path == "/store") return list(request.target, reply);
     if (path.starts_with("/store/")) {
       const auto found = entries_.find(path.substr(7));
-      if (found == entries_.end())
-        return reply({404, Json{{"ledger", ledger_}}.dump(), {}});
+      if (found == entries_.end()) return reply({404, Json{{"ledger", ledger_}}.dump(), {}});
       Json out{{"k", found->first}, {"v", found->second.value}, {"stamp", found->second.stamp}};
       if (found->second.lease != 0) out["tenure"] = found->second.lease;
       return reply({200, out.dump(), {}});
@@ -278,8 +278,7 @@
     if (!writes_.take(static_cast<double>(writes.size())))
       return ++refused_429, reply({429, R"({"error":"rate"})", {}});
     const auto ops = static_cast<std::size_t>(numbers_.txn_ops);
-    bool too_large =
-        size > 64 * 1024 || writes.size() > ops || conditions.size() > ops * 4;
+    bool too_large = size > 64 * 1024 || writes.size() > ops || conditions.size() > ops * 4;
     for (const auto& write : writes)
       if (write.contains("v"))
         too_large = too_large || write.at("v").dump().size() > numbers_.value_kb * 1024;
@@ -323,9 +322,9 @@
     for (auto entry = entries_.lower_bound(std::max(prefix, since));
          entry != entries_.end() && entry->first.starts_with(prefix); ++entry) {
       if (entry->first == since) continue;
-      const auto row = Json{{"k", entry->first},
-                            {"v", entry->second.value},
-                            {"stamp", entry->second.stamp}}.dump();
+      const auto row =
+          Json{{"k", entry->first}, {"v", entry->second.value}, {"stamp", entry->second.stamp}}
+              .dump();
       if (count == most || rows.size() + row.size() > 500 * 1024) {
         truncated = true;
         break;
@@ -434,8 +433,8 @@
 /// What a worker must know of a job; users upload it.
 struct JobFacts {
   Json body;
-  double run_s = 10;     // true run time of each task
-  bool broken = false;   // fails on every machine
+  double run_s = 10;    // true run time of each task
+  bool broken = false;  // fails on every machine
 };
 using JobTable = std::map<std::string, JobFacts>;
 
@@ -450,7 +449,7 @@
 class Worker {
  public:
   struct Events {
-    std::function<void(const std::string& machine, const std::string& task, std::uint64_t attempt)>
+    std::function<void(const std::string&machine, const std::string&task, std::uint64_t attempt)>
         started, ended;
   };
   Worker(asio::io_context& io, std::string id, const MachineType& type, std::string zone, bool spot,
@@ -512,16 +511,12 @@
       if (!task.cause.empty()) item["cause"] = task.cause;
       cuts.push_back(std::move(item));
     }
-    return {{"rig", id_},
-            {"endpoint", violetpulley::net::text_of(server_.local_endpoint())},
-            {"bench", type_.label},
-            {"district", zone_},
-            {"loaners", spot_},
-            {"shift", shift_},
-            {"tally", ++tally_},
-            {"baton", baton_},
-            {"recall_s", nullptr},
-            {"cuts", std::move(cuts)}};
+    return {
+        {"rig", id_},           {"endpoint", violetpulley::net::text_of(server_.local_endpoint())},
+        {"bench", type_.label}, {"district", zone_},
+        {"loaners", spot_},     {"shift", shift_},
+        {"tally", ++tally_},    {"baton", baton_},
+        {"recall_s", nullptr},  {"cuts", std::move(cuts)}};
   }
 
   void report_after(double seconds) {
@@ -557,8 +552,8 @@
         report_after(1.0);
       });
     if (!client_ || client_node_ != node_) {
-      client_ = std::make_unique<HttpClient>(
-          io_, violetpulley::net::parse_endpoint(nodes_.at(node_)), 1);
+      client_ =
+          std::make_unique<HttpClient>(io_, violetpulley::net::parse_endpoint(nodes_.at(node_)), 1);
       client_node_ = node_;
     }
     client_->request({"POST", "/agent/beat", std::move(body)}, Millis(4000),
@@ -625,8 +620,7 @@
 
   void execute(const Json& orders) {
     for (const auto& order : orders) {
-      const std::pair key{order.at("cut").get<std::string>(),
-                          order.at("try").get<std::uint64_t>()};
+      const std::pair key{order.at("cut").get<std::string>(), order.at("try").get<std::uint64_t>()};
       const auto verb = order.at("verb").get<std::string>();
       if (verb == "start")
         start(key);
@@ -671,10 +665,14 @@
       if (facts.body.at("shape") == "service" && !sick) return;
       const bool finished = done_.contains(key.first);
       const bool fails = facts.broken || sick;
-      later(key, begun.serial, finished ? 0.01 : fails ? 2.0 : facts.run_s, [this, key, fails] {
-        if (!fails) done_.insert(key.first);
-        exit(key, fails ? "error" : "done");
-      });
+      later(key, begun.serial,
+            finished ? 0.01
+            : fails  ? 2.0
+                     : facts.run_s,
+            [this, key, fails] {
+              if (!fails) done_.insert(key.first);
+              exit(key, fails ? "error" : "done");
+            });
     });
   }
   void later(const std::pair<std::string, std::uint64_t>& key, std::uint64_t serial, double seconds,
@@ -770,9 +768,8 @@
     types = {{"bancada", 16, 128, 1.1, 0.39, 30, 0.12, 60, zones}};
     capacity = {{"bancada", 28}};
   }
-  std::vector<MachineType> types{
-      {"kjallari", 8, 16, 0.38, 0.12, 4, 0.6, 40, {"sudurnes"}},
-      {"tunna", 64, 512, 3.72, 1.15, 4, 0.3, 40, {"sudurnes"}}};
+  std::vector<MachineType> types{{"kjallari", 8, 16, 0.38, 0.12, 4, 0.6, 40, {"sudurnes"}},
+                                 {"tunna", 64, 512, 3.72, 1.15, 4, 0.3, 40, {"sudurnes"}}};
   std::map<std::string, int> capacity{{"kjallari", 8}, {"tunna", 4}};
   std::function<std::unique_ptr<Worker>(const std::string& id, Machine& machine)> boot;
   /// Called before machines are deleted.
@@ -1049,25 +1046,38 @@
   // Users.
   static Json job(const std::string& id, int tasks, double cores, double memory_gb,
                   double expect_s) {
-    return {{"id", id},         {"lot", "tollur"},       {"owner", "sameign"},
-            {"shape", "array"}, {"urgency", "high"},     {"cuts", tasks},
-            {"cores", cores},   {"gpus", 0.0},           {"memory_gb", memory_gb},
-            {"casket", "img-1"}, {"image_gb", 0.3},      {"benches", nullptr},
-            {"district", nullptr}, {"same_place", false}, {"spread", false},
-            {"loaners", false}, {"expect_s", expect_s},  {"mark_s", 0.0},
-            {"stow_s", 0.0},    {"due_s", nullptr}};
+    return {{"id", id},
+            {"lot", "tollur"},
+            {"owner", "sameign"},
+            {"shape", "array"},
+            {"urgency", "high"},
+            {"cuts", tasks},
+            {"cores", cores},
+            {"gpus", 0.0},
+            {"memory_gb", memory_gb},
+            {"casket", "img-1"},
+            {"image_gb", 0.3},
+            {"benches", nullptr},
+            {"district", nullptr},
+            {"same_place", false},
+            {"spread", false},
+            {"loaners", false},
+            {"expect_s", expect_s},
+            {"mark_s", 0.0},
+            {"stow_s", 0.0},
+            {"due_s", nullptr}};
   }
   using Done = std::function<void(int status, const Json& body)>;
   void ask(const std::string& node, const std::string& method, const std::string& target,
            const std::string& body, double timeout_s, Done done) {
-    auto client = std::make_shared<std::unique_ptr<HttpClient>>(std::make_unique<HttpClient>(
-        io, violetpulley::net::parse_endpoint(nodes.at(node)), 1));
+    auto client = std::make_shared<std::unique_ptr<HttpClient>>(
+        std::make_unique<HttpClient>(io, violetpulley::net::parse_endpoint(nodes.at(node)), 1));
     (*client)->request({method, target, body}, millis_of(timeout_s),
                        [this, client, done](const std::optional<Response>& response) {
                          // Destroyed after this callback.
                          asio::post(io, [client] { client->reset(); });
-                         const auto json = response ? Json::parse(response->body, nullptr, false)
-                                                    : Json();
+                         const auto json =
+                             response ? Json::parse(response->body, nullptr, false) : Json();
                          done(response ? response->status : 0, json);
                        });
   }
@@ -1145,8 +1155,9 @@
 
   [[noreturn]] void finish(int verdict) {
     record.line("verdict: %d (%s)", verdict,
-                verdict == 0 ? "the rule held"
-                             : verdict == 1 ? "the rule was broken" : "the case could not run");
+                verdict == 0   ? "the rule held"
+                : verdict == 1 ? "the rule was broken"
+                               : "the case could not run");
     printf("verdict %d\n", verdict);
     fflush(stdout);
     this->~Site();
@@ -1172,7 +1183,7 @@
   std::set<std::string> accepted;
   StateService state;
   Cloud cloud;
-  std::function<void(const std::string& machine, const std::string& task, std::uint64_t attempt)>
+  std::function<void(const std::string&machine, const std::string&task, std::uint64_t attempt)>
       task_started, task_ended;
   std::uint64_t starts = 0;
 
